--- /dev/null
+++ b/cedarshift/__init__.py
@@ -0,0 +1,1 @@
+"""cedarshift: a pilot that publishes routing tables to plain proxies."""
--- /dev/null
+++ b/cedarshift/brain.py
@@ -0,0 +1,526 @@
+"""All decisions of a cedarshift pilot; no I/O, and no clock but the time passed in.
+
+The host builds Pilot(terms), calls an on_... method for each thing learnt (these only update what is known),
+then next_decision(now) until it returns None. Decisions are plain tuples, verb first. Types, verbs and units
+(whole tenths of a millisecond) are in cedarshift/interface.py; the mechanism is told in docs/design.md.
+"""
+from __future__ import annotations
+
+import math
+from collections import deque
+from typing import Optional
+
+from cedarshift.interface import Entry, Terms
+
+# Constants: unit, then the reason for the size.
+BEAT = 500                # 0.1 ms; how often a pilot looks at what is due: small beside any lease or grace
+CHECK_EVERY = 50_000      # 0.1 ms; pace of the mover: the design's 5 s
+MARGIN = 0.5              # share over the mean at which an endpoint counts as hot; over noise and machine spread
+CHECKS_RUNNING = 2        # checks; the design's two, so that one late report moves nothing
+MOVES_A_TURN = 2          # slices; the design's figure
+HOLD = 300_000            # 0.1 ms; a moved slice stays put for the design's 30 s
+WORTH_MOVING = 0.4        # share of the tightest target latency; under it a hot endpoint still answers in time
+RECENT = 3                # report periods over which figures are worked out; fewer is noise, more is late
+SAMPLES = 24              # samples kept an endpoint or slice: RECENT periods from a handful of zones
+SICK_SHARE = 0.5          # share of ops aborted; a busy but sound endpoint stays well below
+SICK_LEAST = 8            # ops; fewer tell nothing of a share
+SICK_MOST = 0.34          # share of endpoints; when more look bad at once the cause is not the endpoint
+SICK_HOLD = 150_000       # 0.1 ms; no slices for a sick endpoint, doubled for each time it was sick again
+COLD_FILL = 0.25          # share of the tipping load that is offered: ops cost about double where no key is known
+COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
+FULL_AT = 1.5             # multiple of the fair share past which an orphan goes to its next choice
+ROOM = 0.8                # share of the channel's waiting lines used; the rest covers what cannot be foreseen
+LEVEL_STEP = 0.05         # added to the level a check; full again within some ten checks
+LEVEL_SHARE = 0.85        # what is left of the level after a check under overload
+LEVEL_LEAST = 0.4         # the level never goes below: deeper cuts reject what would be acked
+OVERLOAD = 0.25           # share of ops aborted by endpoints that are not sick; ordinary days stay well below
+ASK_AGAIN = 10_000        # 0.1 ms; first wait after a failed list call, then doubled up to a quarter of the bound
+ALL_TABLES = 65535        # the table number that stands for all
+MARKS = 65536             # marks are numbered in a ring of this size
+
+OWNED, REVOKING, SETTLING, EMPTY = "owned", "revoking", "settling", "empty"
+
+
+class Lcg:
+    """Chance: a linear congruential generator of which the high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = seed & (2 ** 64 - 1)
+
+    def draw(self, below: int) -> int:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (2 ** 64 - 1)
+        return (self.state >> 33) % below
+
+
+class Endpoint:
+    """What is known of one endpoint. Nothing is forgotten when it leaves the list: it may come back."""
+
+    def __init__(self, name: str) -> None:
+        self.name, self.phase, self.size, self.zone = name, "on", 1.0, ""
+        self.started: Optional[int] = None   # None: long ago
+        self.told_at = 0                     # when it was heard that it drains or is gone
+        self.samples: deque = deque(maxlen=SAMPLES)  # (heard at, tries, aborted, took, span, report)
+        self.sick_until, self.strikes, self.hot_checks = 0, 0, 0
+
+
+class Proxy:
+    def __init__(self, zone: str) -> None:
+        self.zone, self.joined, self.left_at = zone, True, 0
+        self.acked: Optional[int] = None     # newest mark acked since it joined
+        self.table: Optional[int] = None     # table it was put on, at sites without slices
+
+
+class Slice:
+    """One slice of the keys and where its hand-over stands."""
+
+    def __init__(self, number: int, now: int) -> None:
+        self.number, self.given_at, self.since = number, now, now
+        self.state, self.owner, self.target = EMPTY, None, None
+        self.line = False                    # the store's table names the owner
+        self.closed = False                  # its writing op types are at level 0
+        self.mark: Optional[int] = None      # the mark of the revoke; None: only the lease is waited for
+        self.moved_at = -HOLD
+        self.samples: deque = deque(maxlen=SAMPLES)  # (heard at, ops, span)
+
+
+def rendezvous(endpoint: str, number: int, weight: float) -> float:
+    """Weighted rendezvous score; an FNV-1a hash, since Python's own differs from run to run."""
+    h = 0xcbf29ce484222325
+    for byte in f"{endpoint}/{number}".encode():
+        h = ((h ^ byte) * 0x100000001b3) & (2 ** 64 - 1)
+    h = ((h ^ (h >> 33)) * 0xff51afd7ed558ccd) & (2 ** 64 - 1)
+    return -weight / math.log(((h >> 11) + 1) / (2 ** 53 + 2))
+
+
+class Pilot:
+    def __init__(self, terms: Terms) -> None:
+        self.chance = Lcg(terms.seed)
+        self.slices_on = terms.slices > 0
+        self.single = terms.single_owner
+        self.gone_binds, self.asks = terms.gone_binds, terms.asks_list
+        self.zones, self.pilots = list(terms.zones), max(1, terms.pilots)
+        ops = terms.op_types
+        self.all_ops = (1 << len(ops)) - 1
+        self.writes = sum(1 << i for i, op in enumerate(ops) if op.writes)
+        self.local_ops = sum(1 << i for i, op in enumerate(ops) if op.own_zone)
+        self.tight = min((op.target_latency for op in ops), default=0)
+        self.can_close = terms.levels != "none" and self.single and bool(self.writes)
+        self.can_level = terms.levels == "fraction"
+        self.retries = terms.retry_default
+        self.lease = terms.lease if self.single else 0
+        self.settle = terms.in_flight_most if self.single else 0
+        self.recent = RECENT * terms.report_period + terms.report_period
+        self.check_every = max(CHECK_EVERY, 2 * terms.report_period)
+        self.cold_share, self.warm_within = terms.cold_share, terms.warm_within
+        self.tip = terms.tip_multiple
+        self.head = terms.lines_per_message + 1   # every message carries a mark
+        self.room = ROOM * terms.lines_waiting_most or math.inf
+        self.most, self.span = terms.messages_most, terms.messages_span
+        # Messages come unevenly at first, then evenly: what is urgent never waits longer than this.
+        self.even = self.span // max(1, self.most - self.most // 2 - 1) if self.most else 0
+        # A drained endpoint's lines are emptied so long before the grace ends: the way, the queue and one wait.
+        self.early = terms.transit_most + self.even + terms.drain_grace // 6
+        self.grace = terms.drain_grace
+        self.ask_most = max(ASK_AGAIN, terms.ask_within // 4)
+        self.endpoints: dict[str, Endpoint] = {}
+        self.proxies: dict[int, Proxy] = {}
+        self.slices: dict[int, Slice] = {}
+        self.mark = self.chance.draw(MARKS)
+        self.turns: deque = deque()          # (mark, ordered at, lines) of turns not yet known to have left
+        self.sent: deque = deque()           # when messages were ordered, within the span
+        self.beat_nonce, self.beat_due = 0, None
+        self.asking, self.ask_at, self.ask_wait = False, 0, ASK_AGAIN
+        self.check_at: Optional[int] = None
+        self.level, self.level_sent = 1.0, 1.0
+        self.laid: dict[tuple[int, str], bool] = {}
+        self.out: deque = deque()
+        self.fresh = False                   # something came in since the last decisions
+
+    # ---- inputs: only what is known changes here
+
+    def on_list(self, now: int, kind: str, entries: list[Entry]) -> None:
+        self.fresh = True
+        if kind == "unavailable":            # an unreachable list is not an empty one: the old one stands
+            self.asking, self.ask_at = False, now + self.ask_wait
+            self.ask_wait = min(self.ask_most, 2 * self.ask_wait)
+            return
+        if kind != "restored":
+            self.ask_wait, self.asking = ASK_AGAIN, True
+            self.ask_at = now + 8 * self.ask_most
+        for e in entries:
+            known = self.endpoints.setdefault(e.endpoint, Endpoint(e.endpoint))
+            if e.phase != "on" and known.phase == "on":
+                known.told_at = now
+            if e.started and e.started != known.started:
+                known.samples.clear()        # a new process: what the old one did tells nothing
+                known.sick_until = 0
+            known.phase, known.size, known.zone = e.phase, e.size, e.zone
+            known.started = e.started if e.started is not None else known.started
+        if kind in ("replace", "restored"):
+            named = {e.endpoint for e in entries}
+            for known in self.endpoints.values():
+                if known.name not in named and known.phase != "off":
+                    known.told_at = known.told_at if known.phase == "fading" else now
+                    known.phase = "off"
+
+    def on_join(self, now: int, proxy: int, zone: str) -> None:
+        self.fresh = True
+        self.proxies[proxy] = Proxy(zone)
+
+    def on_leave(self, now: int, proxy: int) -> None:
+        self.fresh = True
+        if proxy in self.proxies:
+            self.proxies[proxy].joined, self.proxies[proxy].left_at = False, now
+
+    def on_given(self, now: int, slice_id: int, given: bool) -> None:
+        self.fresh = True
+        old = self.slices.pop(slice_id, None)
+        if given:
+            s = self.slices[slice_id] = Slice(slice_id, now)
+            s.samples = old.samples if old else s.samples
+            # No line held: a hand-over was cut off somewhere, so the lease and the settle time are waited out.
+            s.state = REVOKING if self.single else EMPTY
+            self.level_sent = 1.0            # levels are reset at a giving
+
+    def on_held(self, now: int, slice_id: int, endpoint: str) -> None:
+        s = self.slices.get(slice_id)
+        if s:
+            s.state, s.owner, s.line = OWNED, endpoint, True
+            self.endpoints.setdefault(endpoint, self._unlisted(endpoint, now))
+
+    def on_ack(self, now: int, proxy: int, mark: int, took: int) -> None:
+        self.fresh = True
+        p = self.proxies.get(proxy)
+        if p and p.joined and (p.acked is None or not self._older(mark, p.acked)):
+            p.acked = mark
+        while self.turns and self._older(self.turns[0][0], mark):
+            self.turns.popleft()             # the channel keeps order: earlier turns have left it
+
+    def on_met(self, now: int, endpoint: str, tries: int, aborted: int, took: int, span: int,
+               report: Optional[float]) -> None:
+        if endpoint in self.endpoints and tries > 0:
+            self.endpoints[endpoint].samples.append((now, tries, aborted, took, span, report))
+
+    def on_heat(self, now: int, slice_id: int, ops: int, unanswered: int, span: int) -> None:
+        if slice_id in self.slices:
+            self.slices[slice_id].samples.append((now, ops, span))
+
+    def on_alarm(self, now: int, nonce: int) -> None:
+        if nonce == self.beat_nonce:
+            self.beat_due, self.fresh = None, True
+
+    # ---- figures worked out from what is known
+
+    @staticmethod
+    def _unlisted(name: str, now: int) -> Endpoint:
+        e = Endpoint(name)
+        e.phase, e.told_at = "off", now      # in a store's line but in no list: as good as gone
+        return e
+
+    @staticmethod
+    def _older(a: int, b: int) -> bool:
+        return a != b and (b - a) % MARKS < MARKS // 2
+
+    def _warmth(self, e: Endpoint, now: int) -> float:
+        """Share of its usual capacity that an endpoint has at least."""
+        if not e.started or now - e.started >= self.warm_within:
+            return 1.0
+        return self.cold_share + (1 - self.cold_share) * max(0, now - e.started) / self.warm_within
+
+    def _live(self, now: int) -> list[Endpoint]:
+        return [e for _, e in sorted(self.endpoints.items()) if e.phase == "on"]
+
+    def _rate(self, s: Slice, now: int) -> float:
+        """Ops of a slice in a tenth of a millisecond; the mean of all slices where nothing was heard."""
+        got = [(n, span) for at, n, span in s.samples if now - at <= self.recent]
+        span = max(sum(span for _, span in got) / max(1, self.kinds), 1)
+        return sum(n for n, _ in got) / span if got else self.mean_rate
+
+    def _weigh_up(self, now: int) -> None:
+        """Works out each slice's rate and what each endpoint has of them, for one round of decisions."""
+        self.kinds, self.mean_rate = max(1, self.all_ops.bit_count()), 0.0
+        heard = [s for s in self.slices.values() if s.samples]
+        self.mean_rate = sum(self._rate(s, now) for s in heard) / len(heard) if heard else 1e-3
+        self.rate = {n: self._rate(s, now) + self.mean_rate * 0.1 for n, s in sorted(self.slices.items())}
+        self.burden: dict[str, float] = {}
+        for n, s in sorted(self.slices.items()):
+            bearer = s.target or s.owner
+            if bearer:
+                self.burden[bearer] = self.burden.get(bearer, 0.0) + self.rate[n]
+        live = self._live(now)
+        self.unit = sum(self.rate.values()) / max(1e-9, sum(e.size for e in live))  # fair burden for size 1
+
+    def _met(self, e: Endpoint, now: int) -> tuple[int, int, float]:
+        """Tries, aborted ops and mean time of the acked ones over the last periods."""
+        got = [s for s in e.samples if now - s[0] <= self.recent]
+        tries, aborted = sum(s[1] for s in got), sum(s[2] for s in got)
+        acked = [(s[1] - s[2], s[3]) for s in got if s[3] > 0 and s[1] > s[2]]
+        n = sum(a for a, _ in acked)
+        return tries, aborted, sum(a * t for a, t in acked) / n if n else 0.0
+
+    def _look_for_sick(self, now: int) -> None:
+        """An endpoint that aborts most of what it is sent, while its peers do not, is sick: it aborts fast, takes
+        ops and answers none, or cannot be reached. Also holds against one that reads as nought while it fails.
+        Harm: a write-heavy slice's seconds without an owner, so only few endpoints at a time may be judged."""
+        live = self._live(now)
+        bad = [e for e in live if (m := self._met(e, now))[0] >= SICK_LEAST and m[1] > SICK_SHARE * m[0]]
+        if len(bad) <= SICK_MOST * len(live):
+            for e in bad:
+                if now >= e.sick_until:
+                    e.sick_until = now + (SICK_HOLD << min(e.strikes, 3))
+                    e.strikes += 1
+                    e.samples.clear()
+
+    def _unfit(self, name: Optional[str], now: int) -> bool:
+        e = self.endpoints.get(name or "")
+        return e is None or e.phase != "on" or now < e.sick_until
+
+    def _must_leave(self, name: Optional[str]) -> bool:
+        e = self.endpoints.get(name or "")
+        return e is None or e.phase == "fading" or (e.phase == "off" and self.gone_binds)
+
+    def _overdue(self, s: Slice, now: int) -> bool:
+        """The old owner's line must go now for the grace to be kept."""
+        e = self.endpoints.get(s.owner or "")
+        return e is not None and e.phase != "on" and now >= max(e.told_at, s.given_at) + self.grace - self.early
+
+    def _room_at(self, e: Endpoint, now: int) -> float:
+        """What an endpoint may bear in all. A cold one is a budget of the tipping multiple; every pilot applies
+        it to its own slices' rates, so together they keep it."""
+        warmth, fair = self._warmth(e, now), self.unit * e.size
+        return FULL_AT * fair if warmth >= 1.0 else COLD_FILL * self.tip * warmth * fair
+
+    def _choose(self, s: Slice, now: int) -> Optional[str]:
+        """The rendezvous choice among live endpoints with room; with no room anywhere, the least burdened warm
+        one, then a cold or sick one: a slice must not stay without an owner."""
+        live = self._live(now)
+        fit = [e for e in live if not self._unfit(e.name, now)]
+        order = sorted(fit, key=lambda e: (-rendezvous(e.name, s.number, e.size * self._warmth(e, now)), e.name))
+        for e in order:
+            if self.burden.get(e.name, 0.0) + self.rate[s.number] <= self._room_at(e, now):
+                return e.name
+        warm = [e for e in fit if self._warmth(e, now) >= 1.0] or fit or live
+        least = min(warm, key=lambda e: (self.burden.get(e.name, 0.0) / (e.size * self._warmth(e, now)), e.name),
+                    default=None)
+        return least.name if least else None
+
+    def _stopped(self, s: Slice, now: int) -> bool:
+        """Every proxy has acked the revoke, or its stream broke a lease ago; none that was never joined since the
+        slice came here can still hold it after one lease."""
+        if now < s.given_at + self.lease:
+            return False
+        for p in self.proxies.values():
+            if p.joined:
+                if s.mark is not None and (p.acked is None or self._older(p.acked, s.mark)):
+                    return False
+            elif now < p.left_at + self.lease:
+                return False
+        return True
+
+    # ---- the slice's state machine: each step gives its lines
+
+    def _revoke(self, s: Slice, now: int, target: Optional[str]) -> list[tuple]:
+        """Closes the slice to writes. The owner's line stays for the other op types while the owner is sound: a
+        pilot killed now leaves the old line, and levels are reset at a giving, which is the abort."""
+        s.state, s.since, s.target, s.mark = REVOKING, now, target, self.mark
+        if self.can_close and self.endpoints[s.owner].phase != "off" and now >= self.endpoints[s.owner].sick_until:
+            s.closed = True
+            return [("level", s.number, self.writes, 0, self.retries)]
+        return self._clear(s)
+
+    def _clear(self, s: Slice) -> list[tuple]:
+        s.line = False
+        return [("line", s.number, s.owner, 0)]
+
+    def _grant(self, s: Slice, now: int, owner: str) -> list[tuple]:
+        lines: list[tuple] = []
+        if s.line and not self.single and s.owner != owner:
+            lines.append(("line", s.number, s.owner, 0))
+        if not s.line or s.owner != owner:
+            lines.append(("line", s.number, owner, 1))
+        if s.closed:
+            lines.append(("level", s.number, self.writes, 1, self.retries))
+        s.moved_at = now if s.owner != owner else s.moved_at
+        s.state, s.owner, s.target, s.line, s.closed, s.since = OWNED, owner, None, True, False, now
+        return lines
+
+    def _advance(self, now: int) -> None:
+        """Steps that need no order."""
+        for _, s in sorted(self.slices.items()):
+            if s.state == REVOKING and self._stopped(s, now):
+                s.state, s.since = SETTLING, now
+            if s.state == SETTLING and now >= s.since + self.settle:
+                s.state = EMPTY
+
+    def _due(self, now: int) -> list[tuple[int, int, str, Optional[str]]]:
+        """(urgency, slice, step, endpoint) for all that waits for an order; the lowest urgency goes first."""
+        due: list[tuple[int, int, str, Optional[str]]] = []
+        for n, s in sorted(self.slices.items()):
+            sound = not self._unfit(s.owner, now)
+            if s.state == OWNED and not sound:
+                due.append((0, n, "revoke", None))
+            elif s.state in (REVOKING, SETTLING):
+                if s.line and self._overdue(s, now) and self._must_leave(s.owner):
+                    due.append((0, n, "clear", None))
+                elif s.owner and sound and (s.line or s.state == SETTLING) and (
+                        s.target is None or self._unfit(s.target, now)) and self._warmth(
+                        self.endpoints[s.owner], now) >= 1.0:
+                    due.append((1, n, "grant", s.owner))   # the abort
+            elif s.state == EMPTY:
+                due.append((1, n, "grant", None))
+        due += self._cold_excess(now)
+        return sorted(due, key=lambda d: (d[0], d[1]))
+
+    def _cold_excess(self, now: int) -> list[tuple[int, int, str, Optional[str]]]:
+        """A restarted owner is cold with all its slices: those past its budget leave before it tips over."""
+        due = []
+        for e in self._live(now):
+            if self._warmth(e, now) < 1.0 and self.burden.get(e.name, 0.0) > 0:
+                limit = self._room_at(e, now) / COLD_FILL * COLD_SHED
+                over = self.burden[e.name] - limit
+                own = [s for _, s in sorted(self.slices.items()) if s.owner == e.name and s.state == OWNED]
+                for s in own[:-1] if over > 0 else []:
+                    if over > 0:
+                        over -= self.rate[s.number]
+                        due.append((0, s.number, "shed", None))
+        return due
+
+    # ---- the cautious mover and the level
+
+    def _check(self, now: int) -> list[tuple[int, int, str, Optional[str]]]:
+        if self.check_at is None:
+            self.check_at = now + self.check_every
+        if now < self.check_at:
+            return []
+        self.check_at = now + self.check_every
+        live = self._live(now)
+        met = {e.name: self._met(e, now) for e in live}
+        self._set_level([met[e.name] for e in live if now >= e.sick_until])
+        load = {e.name: met[e.name][2] for e in live if met[e.name][0] and met[e.name][2] > 0}
+        if not load:
+            return []
+        mean = sum(load.values()) / len(load)
+        due: list[tuple[int, int, str, Optional[str]]] = []
+        idle = [e for e in live if self._may_take(e, now)]
+        for e in live:
+            hot = load.get(e.name, mean) > mean * (1 + MARGIN) and load[e.name] > WORTH_MOVING * self.tight
+            e.hot_checks = e.hot_checks + 1 if hot else 0
+            if e.hot_checks < CHECKS_RUNNING or len(due) >= MOVES_A_TURN:
+                continue
+            own = [s for _, s in sorted(self.slices.items()) if s.owner == e.name and s.state == OWNED
+                   and now - s.moved_at >= HOLD and now - s.given_at >= self.lease]
+            idle.sort(key=lambda t: (load.get(t.name, mean), t.name))
+            if not own or not idle or len(own) < 2:
+                continue
+            hottest = max(own, key=lambda s: (self.rate[s.number], -s.number))
+            part = load[e.name] * self.rate[hottest.number] / max(self.burden[e.name], 1e-9)
+            if idle[0].name != e.name and load.get(idle[0].name, mean) < load[e.name] - part:
+                due.append((3, hottest.number, "move", idle.pop(0).name))
+        return due
+
+    def _may_take(self, e: Endpoint, now: int) -> bool:
+        busy = any(s.target == e.name or (s.state != OWNED and s.owner == e.name) for s in self.slices.values())
+        return not busy and not self._unfit(e.name, now) and self._warmth(e, now) >= 1.0
+
+    def _set_level(self, met: list[tuple[int, int, float]]) -> None:
+        tries, aborted = sum(m[0] for m in met), sum(m[1] for m in met)
+        if tries and aborted > OVERLOAD * tries:
+            self.level = max(LEVEL_LEAST, self.level * LEVEL_SHARE)
+        else:
+            self.level = min(1.0, self.level + LEVEL_STEP)
+
+    # ---- the outlet: every order passes here
+
+    def _pace_allows(self, urgency: int, now: int) -> bool:
+        while self.sent and now - self.sent[0] > self.span:
+            self.sent.popleft()
+        if not self.most:
+            return True
+        used = len(self.sent)
+        if used >= self.most - 1 or (urgency > 2 and used >= self.most // 3):
+            return False
+        return used < self.most // 2 or now - self.sent[-1] >= self.even
+
+    def _turn(self, now: int) -> None:
+        """One turn: all that is due and fits becomes one delta message a proxy, with one mark."""
+        joined = sum(p.joined for p in self.proxies.values())
+        self._look_for_sick(now)
+        self._weigh_up(now)
+        self._advance(now)
+        due = self._due(now) + self._check(now)
+        waiting = sum(t[2] for t in self.turns)
+        unmarked = any(s.state == REVOKING and s.mark is not None for s in self.slices.values()) and any(
+            p.joined and p.acked is None and self._unreached(p) for p in self.proxies.values())
+        if unmarked:
+            due.append((2, -1, "mark", None))
+        if self.can_level and self.slices and abs(self.level - self.level_sent) >= LEVEL_STEP / 2:
+            due.append((3, -1, "level", None))
+        if not due or not self._pace_allows(due[0][0], now):
+            return
+        mark = self.mark = (self.mark + 1) % MARKS
+        lines: list[tuple] = []
+        for urgency, n, step, name in due:
+            if waiting + joined * (self.head + len(lines) + 2) > self.room and joined:
+                break
+            lines += self._step(step, self.slices.get(n), name, now)
+        if lines or unmarked:
+            lines.append(("mark", mark, True))
+            self.out.extend(lines)
+            self.turns.append((mark, now, joined * (self.head + len(lines) - 1)))
+            self.sent.append(now)
+            for p in self.proxies.values():
+                p.table = mark if p.joined else p.table
+
+    def _unreached(self, p: Proxy) -> bool:
+        return p.table is None
+
+    def _step(self, step: str, s: Optional[Slice], name: Optional[str], now: int) -> list[tuple]:
+        if step == "level":
+            self.level_sent = self.level
+            return [("level", ALL_TABLES, 0, round(self.level, 3), self.retries)]
+        if s is None:
+            return []
+        if step == "revoke" or step == "move":
+            return self._revoke(s, now, name)
+        if step == "clear":
+            return self._clear(s)
+        if step == "shed":
+            s.state, s.since, s.target, s.mark = REVOKING, now, None, self.mark
+            return self._clear(s)
+        owner = name or (s.target if not self._unfit(s.target, now) else None) or self._choose(s, now)
+        if owner is None:
+            return []
+        self.burden[owner] = self.burden.get(owner, 0.0) + self.rate[s.number]
+        return self._grant(s, now, owner)
+
+    def _lay_tables(self, now: int) -> None:
+        """Sites without slices: one table for all, or one a zone where some op types must stay in their zone."""
+        zones = self.zones if self.local_ops else [""]
+        warm = [e for e in self._live(now) if self._warmth(e, now) >= 1.0] or self._live(now)
+        for t, zone in enumerate(zones):
+            want = {e.name for e in warm if not zone or e.zone == zone}
+            for name in sorted(want | {n for k, n in self.laid if k == t}):
+                if self.laid.get((t, name), False) != (name in want) and (want or not self._must_leave(name)):
+                    self.out.append(("line", t, name, self.endpoints[name].size if name in want else 0))
+                    self.laid[t, name] = name in want
+        for n, p in sorted(self.proxies.items()):
+            t = zones.index(p.zone) if p.zone in zones else 0
+            if p.joined and p.table is None and any(on for (k, _), on in self.laid.items() if k == t):
+                p.table = t
+                self.out.append(("install", n, 0, t))
+
+    def next_decision(self, now: int) -> Optional[tuple]:
+        if self.fresh and not self.out:
+            self.fresh = False
+            if self.asks and now >= self.ask_at:
+                self.ask_at = now + self.ask_most
+                self.out.append(("ask_list", True))
+            if self.slices_on:
+                self._turn(now)
+            else:
+                self._lay_tables(now)
+            if self.beat_due is None:
+                self.beat_nonce += 1
+                self.beat_due = now + BEAT
+                self.out.append(("wake", BEAT, self.beat_nonce))
+        return self.out.popleft() if self.out else None
--- /dev/null
+++ b/cedarshift/interface.py
@@ -0,0 +1,76 @@
+"""The types that pass between a host and the decision module. All times are whole tenths of a millisecond."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NamedTuple, Optional, Protocol
+
+
+class OpType(NamedTuple):
+    """What a client may ask for."""
+    name: str
+    target_latency: int
+    op_timeout: int
+    writes: bool
+    own_zone: bool
+
+
+class Entry(NamedTuple):
+    """One endpoint as the list shows it; `started` is None where the start lies long back."""
+    endpoint: str
+    phase: str  # "on", "fading" or "off"
+    size: float
+    zone: str
+    started: Optional[int]
+
+
+@dataclass(frozen=True)
+class Terms:
+    """The terms of the deployment that a pilot works under. Missing figures stay at the neutral value."""
+    op_types: tuple[OpType, ...] = ()
+    zones: tuple[str, ...] = ()
+    slices: int = 0
+    single_owner: bool = False
+    asks_list: bool = False
+    levels: str = "fraction"      # what a level holds; "none": levels are disregarded
+    gone_binds: bool = True       # an endpoint dropped from the list must be left within the grace
+    retry_default: int = 0
+    pilots: int = 1
+    seed: int = 0
+    report_field: str = ""        # the load report's value to go by, if there is one
+    lines_per_second: float = 0.0
+    lines_per_message: float = 0.0
+    lines_waiting_most: float = 0.0
+    messages_most: int = 0
+    messages_span: int = 0
+    transit_most: int = 0
+    report_period: int = 0
+    empty_most: int = 0
+    lease: int = 0
+    in_flight_most: int = 0
+    drain_grace: int = 0
+    ask_within: int = 0
+    warm_within: int = 0
+    cold_share: float = 1.0
+    tip_multiple: float = 1.0
+    tip_span: int = 0
+
+
+class Decider(Protocol):
+    """What a host may call. Inputs only update what is known; decisions are then pulled until None comes.
+
+    Decisions: ("ask_list", watch) ("wake", after, nonce) ("note", text)
+    ("line", table, endpoint, weight) ("level", table, op_mask, share, retries)
+    ("mark", number, everyone) ("install", proxy, op_mask, table)
+    """
+
+    def on_list(self, now: int, kind: str, entries: list[Entry]) -> None: ...
+    def on_join(self, now: int, proxy: int, zone: str) -> None: ...
+    def on_leave(self, now: int, proxy: int) -> None: ...
+    def on_given(self, now: int, slice_id: int, given: bool) -> None: ...
+    def on_held(self, now: int, slice_id: int, endpoint: str) -> None: ...
+    def on_ack(self, now: int, proxy: int, mark: int, took: int) -> None: ...
+    def on_met(self, now: int, endpoint: str, tries: int, aborted: int, took: int, span: int,
+               report: Optional[float]) -> None: ...
+    def on_heat(self, now: int, slice_id: int, ops: int, unanswered: int, span: int) -> None: ...
+    def on_alarm(self, now: int, nonce: int) -> None: ...
+    def next_decision(self, now: int) -> Optional[tuple]: ...
--- /dev/null
+++ b/cedarshift/wirehost/__main__.py
@@ -0,0 +1,184 @@
+"""Hosts pilots on the simulator's wire: standard input to calls on the module, its answers to standard output."""
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+import orjson
+
+from cedarshift.brain import Pilot
+from cedarshift.interface import Entry, OpType, Terms
+
+UNIT = 100_000  # nanoseconds in a tenth of a millisecond
+
+
+class Malformed(Exception):
+    """A line that the wire does not allow."""
+
+
+def up(ns: Any) -> int:
+    """Nanoseconds to tenths of a millisecond, rounded up: waits end no sooner than stated."""
+    return -(-int(ns or 0) // UNIT)
+
+
+def down(ns: Any) -> int:
+    return int(ns or 0) // UNIT
+
+
+def entry(raw: dict) -> Entry:
+    started = raw.get("since_ns")
+    return Entry(raw["endpoint"], raw.get("phase") or "on", float(raw.get("size") or 0) or 1.0,
+                 raw.get("hall") or "", up(started) if started else None)
+
+
+def terms(seed: Any, env: dict) -> Terms:
+    """The settings message in the module's words and units."""
+    fam, rules = env.get("family_info") or {}, env.get("rules") or {}
+    report = env.get("load_report") or {}
+    mutating, local = fam.get("mutating") or [], fam.get("stays_local") or []
+    ops = tuple(
+        OpType(c.get("name") or "", up(c.get("on_time_ns")), up(c.get("deadline_ns")),
+               bool(mutating[i]) if i < len(mutating) else False, bool(local[i]) if i < len(local) else False)
+        for i, c in enumerate(env.get("classes") or []))
+    fields = report.get("fields") or []
+    in_answers = report.get("source") == "answers"
+    return Terms(
+        op_types=ops, zones=tuple(env.get("zones") or ()), slices=int(fam.get("ranges") or 0),
+        single_owner=bool(fam.get("one_owner")), asks_list=env.get("discovery") == "ask",
+        levels=fam.get("throttle_by") or "none", gone_binds=not rules.get("soft_removal"),
+        retry_default=int(fam.get("retry_default") or 0), pilots=int(env.get("fleet_size") or 1),
+        seed=int(seed or 0), report_field="outstanding" if in_answers and "outstanding" in fields else "",
+        lines_per_second=float(fam.get("push_rate") or 0), lines_per_message=float(fam.get("per_message") or 0),
+        lines_waiting_most=float(fam.get("pending_max") or 0), messages_most=int(fam.get("messages_most") or 0),
+        messages_span=up(fam.get("reload_span_ns")), transit_most=up(fam.get("push_delay_max_ns")),
+        report_period=up(fam.get("report_every_ns")), empty_most=down(fam.get("empty_for_ns")),
+        lease=up(fam.get("lease_ns")), in_flight_most=up(fam.get("in_flight_max_ns")),
+        drain_grace=down(rules.get("drain_grace_ns")), ask_within=down(rules.get("ask_within_ns")),
+        warm_within=up(rules.get("warm_within_ns")), cold_share=float(rules.get("cold_from") or 1.0),
+        tip_multiple=float(rules.get("fall_multiple") or 1.0), tip_span=up(rules.get("tip_after_ns")))
+
+
+class Host:
+    """One process's pilots and the report field that each reads."""
+
+    def __init__(self) -> None:
+        self.pilots: dict[str, Pilot] = {}
+        self.fields: dict[str, str] = {}
+
+    def feed(self, now: int, name: str, cmd: str, m: dict) -> None:
+        if cmd == "spawn":
+            t = terms(m.get("prng"), m.get("env") or {})
+            self.pilots[name], self.fields[name] = Pilot(t), t.report_field
+            return
+        pilot = self.pilots.get(name)
+        if pilot is None:
+            raise Malformed(f"{cmd} for unknown pilot {name!r}")
+        if cmd == "crash_now":
+            del self.pilots[name]
+        elif cmd == "alarm":
+            pilot.on_alarm(now, m["nonce"])
+        elif cmd == "tally":
+            stats = m.get("server_stats") or {}
+            pilot.on_met(now, m["endpoint"], m["total"], m["lost"], up(m.get("took_ns")),
+                         up(m.get("period_len_ns")), stats.get(self.fields[name]))
+        elif cmd == "key_load":
+            pilot.on_heat(now, m["set_id"], m["total"], m["lost"], up(m.get("period_len_ns")))
+        elif cmd == "applied":
+            pilot.on_ack(now, m["forwarder"], m["rev"], down(m.get("took_ns")))
+        elif cmd == "attached":
+            pilot.on_join(now, m["forwarder"], m.get("hall") or "")
+        elif cmd == "lost_stream":
+            pilot.on_leave(now, m["forwarder"])
+        elif cmd == "tenure":
+            pilot.on_given(now, m["set_id"], bool(m["yes"]))
+        elif cmd == "held":
+            pilot.on_held(now, m["set_id"], m["endpoint"])
+        elif cmd == "roster_change":
+            pilot.on_list(now, m["kind"], [entry(e) for e in m.get("elements") or []])
+        elif cmd not in ("ingress", "probed", "memo"):
+            raise Malformed(f"unknown cmd {cmd!r}")
+
+    @staticmethod
+    def line(name: str, d: tuple) -> dict:
+        verb = d[0]
+        if verb == "line":
+            out = {"cmd": "weigh", "size": d[3], "set_id": d[1], "endpoint": d[2]}
+        elif verb == "level":
+            out = {"cmd": "allow", "set_id": d[1], "mask": d[2], "quota": d[3], "how": d[4]}
+        elif verb == "mark":
+            out = {"cmd": "seal", "rev": d[1], "yes": d[2]}
+        elif verb == "wake":
+            out = {"cmd": "wake_at", "wait_ns": d[1] * UNIT, "nonce": d[2]}
+        elif verb == "ask_list":
+            out = {"cmd": "tail", "yes": d[1]}
+        elif verb == "install":
+            out = {"cmd": "install", "forwarder": d[1], "mask": d[2], "set_id": d[3]}
+        elif verb == "note":
+            out = {"cmd": "record", "text": d[1]}
+        else:
+            raise ValueError(f"unknown decision {verb!r}")
+        out["pilot"] = name
+        return out
+
+
+def serve(source: Any, sink: Any) -> None:
+    """Answers batch after batch until the input ends."""
+    host, now, touched, broken = Host(), None, [], {}
+    for raw in source:
+        try:
+            m = orjson.loads(raw)
+            cmd = m["cmd"]
+            if cmd == "tick":
+                now, touched, broken = down(m["ts_ns"]), [], {}
+                continue
+            if now is None:
+                raise Malformed(f"{cmd} before a tick")
+            if cmd != "flush":
+                name = m["pilot"]
+        except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError, Malformed) as e:
+            raise Malformed(f"malformed line ({type(e).__name__}: {e}): {raw[:200]!r}") from None
+        if cmd != "flush":
+            if name not in touched:
+                touched.append(name)
+            try:
+                host.feed(now, name, cmd, m)
+            except Malformed:
+                raise
+            except Exception as e:  # the module's fault goes on the wire, with its text
+                if isinstance(e, (KeyError, TypeError, ValueError)) and _from_host(e):
+                    raise Malformed(f"malformed {cmd} ({type(e).__name__}: {e}): {raw[:200]!r}") from None
+                broken.setdefault(name, f"{type(e).__name__}: {e}")
+            continue
+        reply = []
+        for name in touched:
+            pilot = host.pilots.get(name)
+            try:
+                while name not in broken and pilot and (d := pilot.next_decision(now)) is not None:
+                    reply.append(host.line(name, d))
+            except Exception as e:
+                broken[name] = f"{type(e).__name__}: {e}"
+            if name in broken:
+                reply.append({"cmd": "broken", "pilot": name, "text": broken[name]})
+        sink.write(b"".join(orjson.dumps(r) + b"\n" for r in reply) + b'{"cmd":"done"}\n')
+        sink.flush()
+
+
+def _from_host(e: BaseException) -> bool:
+    """True where the fault arose in this file, so in reading the line and not in the module."""
+    tb = e.__traceback__
+    while tb and tb.tb_next:
+        tb = tb.tb_next
+    return bool(tb) and tb.tb_frame.f_code.co_filename == __file__
+
+
+def main() -> int:
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except Malformed as e:
+        print(f"cedarshift.wirehost: {e}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
