Space turns evenly so that drains keep the grace under a message cap

Cause: a burst of turns spent the cap, then a drain's emptying waited 2 s. Also holds where many things come due at once; costs up to one gap on a busy minute.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -115,9 +115,8 @@
         self.tip = terms.tip_multiple
         self.head = terms.lines_per_message + 1   # every message carries a mark
         self.room = ROOM * terms.lines_waiting_most or math.inf
-        self.most, self.span = terms.messages_most, terms.messages_span
-        # Messages come unevenly at first, then evenly: what is urgent never waits longer than this.
-        self.even = self.span // max(1, self.most - self.most // 2 - 1) if self.most else 0
+        # Turns an even gap apart keep the cap by themselves, and nothing urgent ever waits longer than the gap.
+        self.even = terms.messages_span // max(1, terms.messages_most - 1) + 1 if terms.messages_most else 0
         # A drained endpoint's lines are emptied so long before the grace ends: the way, the queue and one wait.
         self.early = terms.transit_most + self.even + terms.drain_grace // 6
         self.grace = terms.drain_grace
@@ -127,7 +126,7 @@
         self.slices: dict[int, Slice] = {}
         self.mark = self.chance.draw(MARKS)
         self.turns: deque = deque()          # (mark, ordered at, lines) of turns not yet known to have left
-        self.sent: deque = deque()           # when messages were ordered, within the span
+        self.sent_at: Optional[int] = None   # when the last turn went out
         self.beat_nonce, self.beat_due = 0, None
         self.asking, self.ask_at, self.ask_wait = False, 0, ASK_AGAIN
         self.check_at: Optional[int] = None
@@ -432,14 +431,8 @@
     # ---- the outlet: every order passes here
 
     def _pace_allows(self, urgency: int, now: int) -> bool:
-        while self.sent and now - self.sent[0] > self.span:
-            self.sent.popleft()
-        if not self.most:
-            return True
-        used = len(self.sent)
-        if used >= self.most - 1 or (urgency > 2 and used >= self.most // 3):
-            return False
-        return used < self.most // 2 or now - self.sent[-1] >= self.even
+        """The mover and the level wait for a double gap, so that a drain seldom meets a turn just gone."""
+        return self.sent_at is None or now - self.sent_at >= self.even * (2 if urgency > 2 else 1)
 
     def _turn(self, now: int) -> None:
         """One turn: all that is due and fits becomes one delta message a proxy, with one mark."""
@@ -467,7 +460,7 @@
             lines.append(("mark", mark, True))
             self.out.extend(lines)
             self.turns.append((mark, now, joined * (self.head + len(lines) - 1)))
-            self.sent.append(now)
+            self.sent_at = now
             for p in self.proxies.values():
                 p.table = mark if p.joined else p.table
 
