--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -25,6 +25,7 @@
 SICK_SHARE = 0.5          # share of ops aborted; a busy but sound endpoint stays well below
 SICK_LEAST = 8            # ops; fewer tell nothing of a share
 SICK_MOST = 0.34          # share of endpoints; when more look bad at once the cause is not the endpoint
+SICK_SLOW = 1.5           # multiple of the usual time; slower acks beside the aborts tell overload, not sickness
 SICK_HOLD = 150_000       # 0.1 ms; no slices for a sick endpoint, doubled for each time it was sick again
 COLD_FILL = 0.25          # share of the tipping load that is offered: ops cost about double where no key is known
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
@@ -259,16 +260,21 @@
 
     def _look_for_sick(self, now: int) -> None:
         """An endpoint that aborts most of what it is sent, while its peers do not, is sick: it aborts fast, takes
-        ops and answers none, or cannot be reached. Also holds against one that reads as nought while it fails.
-        Harm: a write-heavy slice's seconds without an owner, so only few endpoints at a time may be judged."""
+        ops and answers none, or cannot be reached; so is one that reads as nought while it fails. A slow answer
+        beside the aborts tells overload instead: the cure there is less load, and taking all its slices away
+        would only pass the load on. Harm: a sound endpoint whose few ops all fail for the clients' own reasons.
+        The held ones count as well, so that no chain of judgements empties the fleet."""
         live = self._live(now)
-        bad = [e for e in live if (m := self._met(e, now))[0] >= SICK_LEAST and m[1] > SICK_SHARE * m[0]]
-        if len(bad) <= SICK_MOST * len(live):
+        met = {e.name: self._met(e, now) for e in live if now >= e.sick_until}
+        times = sorted(m[2] for m in met.values() if m[2])
+        usual = times[len(times) // 2] if times else 0
+        bad = [e for e in live if e.name in met and (m := met[e.name])[0] >= SICK_LEAST
+               and m[1] > SICK_SHARE * m[0] and m[2] < SICK_SLOW * usual]
+        if len(bad) + len(live) - len(met) <= SICK_MOST * len(live):
             for e in bad:
-                if now >= e.sick_until:
-                    e.sick_until = now + (SICK_HOLD << min(e.strikes, 3))
-                    e.strikes += 1
-                    e.samples.clear()
+                e.sick_until = now + (SICK_HOLD << min(e.strikes, 3))
+                e.strikes += 1
+                e.samples.clear()
 
     def _unfit(self, name: Optional[str], now: int) -> bool:
         e = self.endpoints.get(name or "")
