--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -34,7 +34,7 @@
 LEVEL_STEP = 0.05         # added to the level a check; full again within some ten checks
 LEVEL_SHARE = 0.85        # what is left of the level after a check under overload
 LEVEL_LEAST = 0.4         # the level never goes below: deeper cuts reject what would be acked
-OVERLOAD = 0.25           # share of ops aborted by endpoints that are not sick; ordinary days stay well below
+OVERLOAD = 0.2            # share of ops aborted at the middle endpoint; ordinary days stay well below
 ASK_AGAIN = 10_000        # 0.1 ms; first wait after a failed list call, then doubled up to a quarter of the bound
 ALL_TABLES = 65535        # the table number that stands for all
 MARKS = 65536             # marks are numbered in a ring of this size
@@ -428,8 +428,10 @@
         return not busy and not self._unfit(e.name, now) and self._warmth(e, now) >= 1.0
 
     def _set_level(self, met: list[tuple[int, int, float]]) -> None:
-        tries, aborted = sum(m[0] for m in met), sum(m[1] for m in met)
-        if tries and aborted > OVERLOAD * tries:
+        """One level for all op types. Only the middle endpoint tells of overload: a few full ones beside idle ones
+        are imbalance, which the mover answers, and rejecting ops everywhere would not."""
+        share = sorted(aborted / tries for tries, aborted, _ in met if tries)
+        if share and share[len(share) // 2] > OVERLOAD:
             self.level = max(LEVEL_LEAST, self.level * LEVEL_SHARE)
         else:
             self.level = min(1.0, self.level + LEVEL_STEP)
