--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -14,11 +14,13 @@
 
 # Constants: unit, then the reason for the size.
 BEAT = 500                # 0.1 ms; how often a pilot looks at what is due: small beside any lease or grace
-CHECK_EVERY = 50_000      # 0.1 ms; pace of the mover: the design's 5 s
+CHECK_EVERY = 20_000      # 0.1 ms; pace of the mover: a jam grows within seconds, so faster than the design's 5 s
 MARGIN = 0.5              # share over the mean at which an endpoint counts as hot; over noise and machine spread
 CHECKS_RUNNING = 2        # checks; the design's two, so that one late report moves nothing
-MOVES_A_TURN = 2          # slices; the design's figure
-HOLD = 300_000            # 0.1 ms; a moved slice stays put for the design's 30 s
+MOVES_A_TURN = 2          # slices; the design's figure, in a small fleet
+MOVES_PART = 6            # endpoints to a move a turn in a larger fleet: hot slices come several at a time
+STRAINED = 0.08           # share of ops aborted past which an endpoint is worth relieving
+HOLD = 200_000            # 0.1 ms; a moved slice stays put until its load has shown and its keys are known
 WORTH_MOVING = 0.4        # share of the tightest target latency; under it a hot endpoint still answers in time
 RECENT = 3                # report periods over which figures are worked out; fewer is noise, more is late
 SAMPLES = 24              # samples kept an endpoint or slice: RECENT periods from a handful of zones
@@ -105,13 +107,14 @@
         self.writes = sum(1 << i for i, op in enumerate(ops) if op.writes)
         self.local_ops = sum(1 << i for i, op in enumerate(ops) if op.own_zone)
         self.tight = min((op.target_latency for op in ops), default=0)
+        self.timeout = max((op.op_timeout for op in ops), default=0)
         self.can_close = terms.levels != "none" and self.single and bool(self.writes)
         self.can_level = terms.levels == "fraction"
         self.retries = terms.retry_default
         self.lease = terms.lease if self.single else 0
         self.settle = terms.in_flight_most if self.single else 0
         self.recent = RECENT * terms.report_period + terms.report_period
-        self.check_every = max(CHECK_EVERY, 2 * terms.report_period)
+        self.check_every = max(CHECK_EVERY, terms.report_period)
         self.cold_share, self.warm_within = terms.cold_share, terms.warm_within
         self.tip = terms.tip_multiple
         self.head = terms.lines_per_message + 1   # every message carries a mark
@@ -401,28 +404,45 @@
         live = self._live(now)
         met = {e.name: self._met(e, now) for e in live}
         self._set_level([met[e.name] for e in live if now >= e.sick_until])
-        load = {e.name: met[e.name][2] for e in live if met[e.name][0] and met[e.name][2] > 0}
+        load = {e.name: load for e in live if (load := self._load(e, now)) is not None}
         if not load:
             return []
         mean = sum(load.values()) / len(load)
         due: list[tuple[int, int, str, Optional[str]]] = []
         idle = [e for e in live if self._may_take(e, now)]
-        for e in live:
-            hot = load.get(e.name, mean) > mean * (1 + MARGIN) and load[e.name] > WORTH_MOVING * self.tight
+        idle.sort(key=lambda t: (load.get(t.name, mean), t.name))
+        for e in sorted(live, key=lambda e: (-load.get(e.name, mean), e.name)):
+            hot = load.get(e.name, mean) > mean * (1 + MARGIN) and self._strained(met[e.name])
             e.hot_checks = e.hot_checks + 1 if hot else 0
-            if e.hot_checks < CHECKS_RUNNING or len(due) >= MOVES_A_TURN:
+            if e.hot_checks < CHECKS_RUNNING or len(due) >= max(MOVES_A_TURN, len(live) // MOVES_PART):
                 continue
             own = [s for _, s in sorted(self.slices.items()) if s.owner == e.name and s.state == OWNED
                    and now - s.moved_at >= HOLD and now - s.given_at >= self.lease]
-            idle.sort(key=lambda t: (load.get(t.name, mean), t.name))
-            if not own or not idle or len(own) < 2:
-                continue
-            hottest = max(own, key=lambda s: (self.rate[s.number], -s.number))
-            part = load[e.name] * self.rate[hottest.number] / max(self.burden[e.name], 1e-9)
-            if idle[0].name != e.name and load.get(idle[0].name, mean) < load[e.name] - part:
-                due.append((3, hottest.number, "move", idle.pop(0).name))
+            own.sort(key=lambda s: (-self.rate[s.number], s.number))
+            for s in own if len(own) > 1 and idle and idle[0] is not e else []:
+                part = load[e.name] * self.rate[s.number] / self.burden[e.name]
+                if load.get(idle[0].name, mean) + part < load[e.name] - part:
+                    due.append((3, s.number, "move", idle.pop(0).name))
+                    e.hot_checks = 0
+                    break
         return due
 
+    def _load(self, e: Endpoint, now: int) -> Optional[float]:
+        """The endpoint's own report if it sends one, else its latency; None while nothing was heard. An aborted op
+        counts as an op timeout waited, so that an endpoint which fails its ops never reads as cool."""
+        tries, aborted, took = self._met(e, now)
+        if not tries:
+            return None
+        said = [s[5] for s in e.samples if s[5] is not None and now - s[0] <= self.recent]
+        if said and (any(said) or not took):
+            return sum(said) / len(said) * (1 + aborted / tries)
+        return ((tries - aborted) * took + aborted * self.timeout) / tries
+
+    def _strained(self, met: tuple[int, int, float]) -> bool:
+        """A hand-over costs seconds of writes: an endpoint whose ops are in time keeps its slices."""
+        tries, aborted, took = met
+        return aborted > STRAINED * tries or took > WORTH_MOVING * self.tight
+
     def _may_take(self, e: Endpoint, now: int) -> bool:
         busy = any(s.target == e.name or (s.state != OWNED and s.owner == e.name) for s in self.slices.values())
         return not busy and not self._unfit(e.name, now) and self._warmth(e, now) >= 1.0
