--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -22,6 +22,7 @@
 STRAINED = 0.08           # share of ops aborted past which an endpoint is worth relieving
 HOLD = 200_000            # 0.1 ms; a moved slice stays put until its load has shown and its keys are known
 WORTH_MOVING = 0.4        # share of the tightest target latency; under it a hot endpoint still answers in time
+LATE = 15_000             # 0.1 ms; how late a sum may come: one begun sooner after a move is of the time before it
 RECENT = 3                # report periods over which figures are worked out; fewer is noise, more is late
 SAMPLES = 24              # samples kept an endpoint or slice: RECENT periods from a handful of zones
 SICK_SHARE = 0.5          # share of ops aborted; a busy but sound endpoint stays well below
@@ -64,6 +65,7 @@
         self.told_at = 0                     # when it was heard that it drains or is gone
         self.samples: deque = deque(maxlen=SAMPLES)  # (heard at, tries, aborted, took, span, report)
         self.sick_until, self.strikes, self.hot_checks = 0, 0, 0
+        self.changed_at = 0                  # when it last gained or lost a slice
 
 
 class Proxy:
@@ -253,9 +255,9 @@
         live = self._live(now)
         self.unit = sum(self.rate.values()) / max(1e-9, sum(e.size for e in live))  # fair burden for size 1
 
-    def _met(self, e: Endpoint, now: int) -> tuple[int, int, float]:
+    def _met(self, e: Endpoint, now: int, after: int = 0) -> tuple[int, int, float]:
         """Tries, aborted ops and mean time of the acked ones over the last periods."""
-        got = [s for s in e.samples if now - s[0] <= self.recent]
+        got = [s for s in e.samples if now - s[0] <= self.recent and s[0] - s[4] >= after]
         tries, aborted = sum(s[1] for s in got), sum(s[2] for s in got)
         acked = [(s[1] - s[2], s[3]) for s in got if s[3] > 0 and s[1] > s[2]]
         n = sum(a for a, _ in acked)
@@ -348,7 +350,11 @@
             lines.append(("line", s.number, owner, 1))
         if s.closed:
             lines.append(("level", s.number, self.writes, 1, self.retries))
-        s.moved_at = now if s.owner != owner else s.moved_at
+        if s.owner != owner:
+            s.moved_at = now
+            for name in (s.owner, owner):
+                if name in self.endpoints:
+                    self.endpoints[name].changed_at = now
         s.state, s.owner, s.target, s.line, s.closed, s.since = OWNED, owner, None, True, False, now
         return lines
 
@@ -413,7 +419,7 @@
         idle.sort(key=lambda t: (load.get(t.name, mean), t.name))
         for e in sorted(live, key=lambda e: (-load.get(e.name, mean), e.name)):
             hot = load.get(e.name, mean) > mean * (1 + MARGIN) and self._strained(met[e.name])
-            e.hot_checks = e.hot_checks + 1 if hot else 0
+            e.hot_checks = e.hot_checks + 1 if hot else 0  # an endpoint with no fresh sums is not hot
             if e.hot_checks < CHECKS_RUNNING or len(due) >= max(MOVES_A_TURN, len(live) // MOVES_PART):
                 continue
             own = [s for _, s in sorted(self.slices.items()) if s.owner == e.name and s.state == OWNED
@@ -430,10 +436,10 @@
     def _load(self, e: Endpoint, now: int) -> Optional[float]:
         """The endpoint's own report if it sends one, else its latency; None while nothing was heard. An aborted op
         counts as an op timeout waited, so that an endpoint which fails its ops never reads as cool."""
-        tries, aborted, took = self._met(e, now)
+        tries, aborted, took = self._met(e, now, e.changed_at + LATE)
         if not tries:
-            return None
-        said = [s[5] for s in e.samples if s[5] is not None and now - s[0] <= self.recent]
+            return None                      # sums of the time before a move tell nothing of the state after it
+        said = [s[5] for s in e.samples if s[5] is not None and s[0] >= now - self.recent]
         if said and (any(said) or not took):
             return sum(said) / len(said) * (1 + aborted / tries)
         return ((tries - aborted) * took + aborted * self.timeout) / tries
@@ -445,7 +451,7 @@
 
     def _may_take(self, e: Endpoint, now: int) -> bool:
         busy = any(s.target == e.name or (s.state != OWNED and s.owner == e.name) for s in self.slices.values())
-        return not busy and not self._unfit(e.name, now) and self._warmth(e, now) >= 1.0
+        return not busy and now - e.changed_at >= LATE + self.recent and not self._unfit(e.name, now) and self._warmth(e, now) >= 1.0
 
     def _set_level(self, met: list[tuple[int, int, float]]) -> None:
         """One level for all op types. Only the middle endpoint tells of overload: a few full ones beside idle ones
