--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -414,11 +414,16 @@
         if not load:
             return []
         mean = sum(load.values()) / len(load)
+        lag = {e.name: self._lag(met[e.name]) for e in live if met[e.name][0]}
+        usual = sum(lag.values()) / len(lag)
         due: list[tuple[int, int, str, Optional[str]]] = []
-        idle = [e for e in live if self._may_take(e, now)]
+        # A report is believed where the latency does not gainsay it: a count is larger on a larger machine, and a
+        # false nought would draw the hot slices.
+        idle = [e for e in live if self._may_take(e, now) and lag.get(e.name, usual) <= usual]
         idle.sort(key=lambda t: (load.get(t.name, mean), t.name))
         for e in sorted(live, key=lambda e: (-load.get(e.name, mean), e.name)):
-            hot = load.get(e.name, mean) > mean * (1 + MARGIN) and self._strained(met[e.name])
+            hot = load.get(e.name, mean) > mean * (1 + MARGIN) and lag[e.name] > usual * (1 + MARGIN) and (
+                self._strained(met[e.name]))
             e.hot_checks = e.hot_checks + 1 if hot else 0  # an endpoint with no fresh sums is not hot
             if e.hot_checks < CHECKS_RUNNING or len(due) >= max(MOVES_A_TURN, len(live) // MOVES_PART):
                 continue
@@ -434,14 +439,19 @@
         return due
 
     def _load(self, e: Endpoint, now: int) -> Optional[float]:
-        """The endpoint's own report if it sends one, else its latency; None while nothing was heard. An aborted op
-        counts as an op timeout waited, so that an endpoint which fails its ops never reads as cool."""
+        """The endpoint's own report if it sends one, else its latency; None while nothing was heard."""
         tries, aborted, took = self._met(e, now, e.changed_at + LATE)
         if not tries:
             return None                      # sums of the time before a move tell nothing of the state after it
         said = [s[5] for s in e.samples if s[5] is not None and s[0] >= now - self.recent]
         if said and (any(said) or not took):
-            return sum(said) / len(said) * (1 + aborted / tries)
+            return sum(said) / len(said)
+        return self._lag((tries, aborted, took))
+
+    def _lag(self, met: tuple[int, int, float]) -> float:
+        """Mean time of an op at an endpoint; an aborted one counts as an op timeout waited, so that an endpoint
+        that fails its ops never reads as quick."""
+        tries, aborted, took = met
         return ((tries - aborted) * took + aborted * self.timeout) / tries
 
     def _strained(self, met: tuple[int, int, float]) -> bool:
