--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -19,12 +19,14 @@
 CHECKS_RUNNING = 2        # checks; the design's two, so that one late report moves nothing
 MOVES_A_TURN = 2          # slices; the design's figure, in a small fleet
 MOVES_PART = 6            # endpoints to a move a turn in a larger fleet: hot slices come several at a time
+MOVES_A_SOURCE = 2        # slices that one hot endpoint gives up a turn: more would overshoot on late sums
 STRAINED = 0.08           # share of ops aborted past which an endpoint is worth relieving
 HOLD = 200_000            # 0.1 ms; a moved slice stays put until its load has shown and its keys are known
 WORTH_MOVING = 0.4        # share of the tightest target latency; under it a hot endpoint still answers in time
 LATE = 15_000             # 0.1 ms; how late a sum may come: one begun sooner after a move is of the time before it
 RECENT = 3                # report periods over which figures are worked out; fewer is noise, more is late
-SAMPLES = 24              # samples kept an endpoint or slice: RECENT periods from a handful of zones
+RECENT_LEAST = 40_000     # 0.1 ms; where periods are short, fewer seconds than this hold too few ops to judge by
+SAMPLES = 48              # samples kept an endpoint or slice: RECENT periods from a handful of zones
 SICK_SHARE = 0.5          # share of ops aborted; a busy but sound endpoint stays well below
 SICK_LEAST = 8            # ops; fewer tell nothing of a share
 SICK_MOST = 0.34          # share of endpoints; when more look bad at once the cause is not the endpoint
@@ -115,7 +117,7 @@
         self.retries = terms.retry_default
         self.lease = terms.lease if self.single else 0
         self.settle = terms.in_flight_most if self.single else 0
-        self.recent = RECENT * terms.report_period + terms.report_period
+        self.recent = max(RECENT * terms.report_period + terms.report_period, RECENT_LEAST)
         self.check_every = max(CHECK_EVERY, terms.report_period)
         self.cold_share, self.warm_within = terms.cold_share, terms.warm_within
         self.tip = terms.tip_multiple
@@ -416,6 +418,8 @@
         mean = sum(load.values()) / len(load)
         lag = {e.name: self._lag(met[e.name]) for e in live if met[e.name][0]}
         usual = sum(lag.values()) / len(lag)
+        even = sum(self.rate.values()) / len(live)
+        most = max(MOVES_A_TURN, len(live) // MOVES_PART)
         due: list[tuple[int, int, str, Optional[str]]] = []
         # A report is believed where the latency does not gainsay it: a count is larger on a larger machine, and a
         # false nought would draw the hot slices.
@@ -425,17 +429,20 @@
             hot = load.get(e.name, mean) > mean * (1 + MARGIN) and lag[e.name] > usual * (1 + MARGIN) and (
                 self._strained(met[e.name]))
             e.hot_checks = e.hot_checks + 1 if hot else 0  # an endpoint with no fresh sums is not hot
-            if e.hot_checks < CHECKS_RUNNING or len(due) >= max(MOVES_A_TURN, len(live) // MOVES_PART):
+            if e.hot_checks < CHECKS_RUNNING:
                 continue
+            moved = 0
             own = [s for _, s in sorted(self.slices.items()) if s.owner == e.name and s.state == OWNED
                    and now - s.moved_at >= HOLD and now - s.given_at >= self.lease]
             own.sort(key=lambda s: (-self.rate[s.number], s.number))
-            for s in own if len(own) > 1 and idle and idle[0] is not e else []:
-                part = load[e.name] * self.rate[s.number] / self.burden[e.name]
-                if load.get(idle[0].name, mean) + part < load[e.name] - part:
+            for s in own:
+                # What a slice brings is its ops at the fleet's usual cost: a jammed source's own figures say more
+                # of its queue than of the slice, and would find every slice too large to move.
+                part = mean * self.rate[s.number] / even
+                if len(due) < most and moved < MOVES_A_SOURCE and idle and idle[0] is not e and (
+                        load.get(idle[0].name, mean) + part < load[e.name] - part):
                     due.append((3, s.number, "move", idle.pop(0).name))
-                    e.hot_checks = 0
-                    break
+                    moved, e.hot_checks = moved + 1, 0
         return due
 
     def _load(self, e: Endpoint, now: int) -> Optional[float]:
