--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -423,7 +423,8 @@
         due: list[tuple[int, int, str, Optional[str]]] = []
         # A report is believed where the latency does not gainsay it: a count is larger on a larger machine, and a
         # false nought would draw the hot slices.
-        idle = [e for e in live if self._may_take(e, now) and lag.get(e.name, usual) <= usual]
+        # Under overload every endpoint is strained, and nothing moves: the cause is not the endpoint.
+        idle = [e for e in live if self._may_take(e, now) and (e.name not in lag or not self._strained(met[e.name]))]
         idle.sort(key=lambda t: (load.get(t.name, mean), t.name))
         for e in sorted(live, key=lambda e: (-load.get(e.name, mean), e.name)):
             hot = load.get(e.name, mean) > mean * (1 + MARGIN) and lag[e.name] > usual * (1 + MARGIN) and (
