Orphans: cold endpoints are offered their present share, warm ones are full at 1.25 of fair

Cause: in a rolling deploy the shrinking warm part took nearly all orphans while successors stood idle. Harm: a cold endpoint on a full fleet serves late for some seconds.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -32,9 +32,9 @@
 SICK_MOST = 0.34          # share of endpoints; when more look bad at once the cause is not the endpoint
 SICK_SLOW = 1.5           # multiple of the usual time; slower acks beside the aborts tell overload, not sickness
 SICK_HOLD = 150_000       # 0.1 ms; no slices for a sick endpoint, doubled for each time it was sick again
-COLD_FILL = 0.25          # share of the tipping load that is offered: ops cost about double where no key is known
+COLD_FILL = 0.4           # share of the tipping load that is offered: ops cost about double where no key is known
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
-FULL_AT = 1.5             # multiple of the fair share past which an orphan goes to its next choice
+FULL_AT = 1.25            # multiple of the fair share past which an orphan goes to its next choice
 ROOM = 0.8                # share of the channel's waiting lines used; the rest covers what cannot be foreseen
 LEVEL_STEP = 0.05         # added to the level a check; full again within some ten checks
 LEVEL_SHARE = 0.85        # what is left of the level after a check under overload
@@ -300,7 +300,7 @@
         """What an endpoint may bear in all. A cold one is a budget of the tipping multiple; every pilot applies
         it to its own slices' rates, so together they keep it."""
         warmth, fair = self._warmth(e, now), self.unit * e.size
-        return FULL_AT * fair if warmth >= 1.0 else COLD_FILL * self.tip * warmth * fair
+        return FULL_AT * fair if warmth >= 1.0 else min(1.0, COLD_FILL * self.tip) * warmth * fair
 
     def _choose(self, s: Slice, now: int) -> Optional[str]:
         """The rendezvous choice among live endpoints with room; with no room anywhere, the least burdened warm
@@ -392,7 +392,7 @@
         due = []
         for e in self._live(now):
             if self._warmth(e, now) < 1.0 and self.burden.get(e.name, 0.0) > 0:
-                limit = self._room_at(e, now) / COLD_FILL * COLD_SHED
+                limit = COLD_SHED * self.tip * self._warmth(e, now) * self.unit * e.size
                 over = self.burden[e.name] - limit
                 own = [s for _, s in sorted(self.slices.items()) if s.owner == e.name and s.state == OWNED]
                 for s in own[:-1] if over > 0 else []:
