--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -34,7 +34,6 @@
 SICK_HOLD = 150_000       # 0.1 ms; no slices for a sick endpoint, doubled for each time it was sick again
 COLD_FILL = 0.4           # share of the tipping load that is offered: ops cost about double where no key is known
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
-PACE_LEAST, PACE_MOST = 0.3, 2.0  # bounds of usual time over an endpoint's own, when its size is corrected by it
 FULL_AT = 1.25            # multiple of the fair share past which an orphan goes to its next choice
 ROOM = 0.8                # share of the channel's waiting lines used; the rest covers what cannot be foreseen
 LEVEL_STEP = 0.05         # added to the level a check; full again within some ten checks
@@ -256,12 +255,7 @@
             if bearer:
                 self.burden[bearer] = self.burden.get(bearer, 0.0) + self.rate[n]
         live = self._live(now)
-        lag = {e.name: self._lag(m) for e in live if (m := self._met(e, now))[0]}
-        usual = sum(lag.values()) / len(lag) if lag else 1.0
-        # Listed sizes are rough or all alike: what an endpoint's ops take says how much of its size is there.
-        self.bulk = {e.name: e.size * min(PACE_MOST, max(PACE_LEAST, usual / max(lag.get(e.name, usual), 1.0)))
-                     for e in self.endpoints.values()}
-        self.unit = sum(self.rate.values()) / max(1e-9, sum(self.bulk[e.name] for e in live))  # fair for bulk 1
+        self.unit = sum(self.rate.values()) / max(1e-9, sum(e.size for e in live))  # fair burden for size 1
 
     def _met(self, e: Endpoint, now: int, after: int = 0) -> tuple[int, int, float]:
         """Tries, aborted ops and mean time of the acked ones over the last periods."""
@@ -305,7 +299,7 @@
     def _room_at(self, e: Endpoint, now: int) -> float:
         """What an endpoint may bear in all. A cold one is a budget of the tipping multiple; every pilot applies
         it to its own slices' rates, so together they keep it."""
-        warmth, fair = self._warmth(e, now), self.unit * self.bulk[e.name]
+        warmth, fair = self._warmth(e, now), self.unit * e.size
         return FULL_AT * fair if warmth >= 1.0 else min(1.0, COLD_FILL * self.tip) * warmth * fair
 
     def _choose(self, s: Slice, now: int) -> Optional[str]:
@@ -313,12 +307,13 @@
         one, then a cold or sick one: a slice must not stay without an owner."""
         live = self._live(now)
         fit = [e for e in live if not self._unfit(e.name, now)]
-        order = sorted(fit, key=lambda e: (-rendezvous(e.name, s.number, self.bulk[e.name] * self._warmth(e, now)), e.name))
+        order = sorted(fit, key=lambda e: (-rendezvous(e.name, s.number, e.size * self._warmth(e, now)), e.name))
         for e in order:
-            if self.burden.get(e.name, 0.0) + self.rate[s.number] <= self._room_at(e, now):
+            if self.burden.get(e.name, 0.0) + self.rate[s.number] <= self._room_at(e, now) and (
+                    self._warmth(e, now) < 1.0 or not self._strained(self._met(e, now))):
                 return e.name
         warm = [e for e in fit if self._warmth(e, now) >= 1.0] or fit or live
-        least = min(warm, key=lambda e: (self.burden.get(e.name, 0.0) / (self.bulk[e.name] * self._warmth(e, now)), e.name),
+        least = min(warm, key=lambda e: (self.burden.get(e.name, 0.0) / (e.size * self._warmth(e, now)), e.name),
                     default=None)
         return least.name if least else None
 
@@ -471,7 +466,7 @@
     def _strained(self, met: tuple[int, int, float]) -> bool:
         """A hand-over costs seconds of writes: an endpoint whose ops are in time keeps its slices."""
         tries, aborted, took = met
-        return aborted > STRAINED * tries or took > WORTH_MOVING * self.tight
+        return tries > 0 and aborted > STRAINED * tries or took > WORTH_MOVING * self.tight
 
     def _may_take(self, e: Endpoint, now: int) -> bool:
         busy = any(s.target == e.name or (s.state != OWNED and s.owner == e.name) for s in self.slices.values())
