--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,46 @@
+"""Builds the state that a test needs."""
+from cedarshift.brain import OWNED, Pilot
+from cedarshift.interface import Entry, OpType, Terms
+
+TERMS = dict(
+    op_types=(OpType("get", 20_000, 60_000, False, False), OpType("put", 20_000, 30_000, True, False)),
+    slices=8, single_owner=True, report_period=10_000, lease=25_000, in_flight_most=30_000, drain_grace=40_000,
+    lines_per_message=10.0, lines_waiting_most=4000.0, transit_most=5_000, empty_most=120_000, cold_share=0.2,
+    warm_within=150_000, tip_multiple=3.0, tip_span=20_000, ask_within=100_000)
+
+
+def pilot(endpoints="abcd", owners="abcdabcd", proxies=2, now=0, **terms):
+    """A pilot with warm endpoints, one slice for each letter of `owners` ('-' has no line) and joined proxies."""
+    p = Pilot(Terms(**{**TERMS, **terms}))
+    p.on_list(now, "restored", [entry(n) for n in endpoints])
+    for i in range(proxies):
+        p.on_join(now, i, "z")
+        p.proxies[i].acked = p.mark
+    for i, owner in enumerate(owners):
+        p.on_given(now, i, True)
+        if owner != "-":
+            p.on_held(now, i, owner)
+    p._weigh_up(now)
+    return p
+
+
+def entry(name, phase="on", started=None, size=1.0):
+    return Entry(name, phase, size, "z", started)
+
+
+def decisions(p, now):
+    """All that the pilot decides at a time, its timer and marks left out."""
+    p.fresh = True
+    out = []
+    while (d := p.next_decision(now)) is not None:
+        out.append(d)
+    return [d for d in out if d[0] not in ("wake", "mark")]
+
+
+def heard(p, now, name, tries, aborted, took, report=None):
+    for at in (now - 10_000, now - 5_000, now):
+        p.on_met(at, name, tries, aborted, took, 10_000, report)
+
+
+def states(p):
+    return "".join({OWNED: "o"}.get(s.state, s.state[0]) for _, s in sorted(p.slices.items()))
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -1,19 +1,205 @@
 import pytest
+from helpers import decisions, entry, heard, pilot, states
 
-from cedarshift.brain import Pilot
-from cedarshift.interface import Entry, OpType, Terms
+from cedarshift.brain import MARKS, OWNED, SETTLING, Lcg, rendezvous
 
 
-def drain(pilot, now):
-    out = []
-    while (d := pilot.next_decision(now)) is not None:
-        out.append(d)
-    return out
+def revoking(now=100_000, **kw):
+    """Slice 0 leaves a draining owner; its revoke went out at `now` with the pilot's mark."""
+    p = pilot(**kw)
+    p.on_list(now, "update", [entry("a", "fading")])
+    assert ("level", 0, 2, 0, 0) in decisions(p, now)
+    return p
 
 
-def test_nothing_due_means_only_a_timer():
-    p = Pilot(Terms(op_types=(OpType("put", 1, 2, True, False),), slices=1, single_owner=True))
-    p.on_list(0, "restored", [Entry("a:1", "on", 1.0, "z", None)])
-    p.on_given(0, 0, True)
-    p.on_held(0, 0, "a:1")
-    assert [d[0] for d in drain(p, 0)] == ["wake"]
+def test_sound_fleet_is_left_alone():
+    assert decisions(pilot(), 100_000) == []
+
+
+@pytest.mark.parametrize("acks, leaves, after, stopped", [
+    ((0, 1), (), 0, True),             # every proxy acked
+    ((0,), (), 10 ** 7, False),        # no ack and no break is no proof, however long
+    ((0,), (1,), 24_999, False),       # the lease of a broken stream still runs
+    ((0,), (1,), 25_000, True),
+])
+def test_revoke_waits_for_acks_or_lease(acks, leaves, after, stopped):
+    p = revoking()
+    for proxy in leaves:
+        p.on_leave(100_000, proxy)
+    for proxy in acks:
+        p.on_ack(100_000, proxy, p.mark, 10)
+    assert p._stopped(p.slices[0], 100_000 + after) is stopped
+
+
+def test_a_proxy_that_joins_meanwhile_is_marked_and_awaited():
+    p = revoking()
+    for proxy in (0, 1):
+        p.on_ack(101_000, proxy, p.mark, 10)
+    p.on_join(101_000, 2, "z")
+    assert not p._stopped(p.slices[0], 101_000)
+    mark = p.mark
+    decisions(p, 101_500)
+    assert p.mark == mark + 1
+    p.on_ack(102_000, 2, p.mark, 10)
+    assert p._stopped(p.slices[0], 102_000)
+
+
+def test_an_ack_of_an_older_mark_counts_for_nothing():
+    p = revoking()
+    for proxy in (0, 1):
+        p.on_ack(100_000, proxy, (p.mark - 1) % MARKS, 10)
+    assert not p._stopped(p.slices[0], 100_000)
+
+
+def test_grant_comes_only_after_the_settle_time():
+    p = revoking()
+    for proxy in (0, 1):
+        p.on_ack(101_000, proxy, p.mark, 10)
+    decisions(p, 101_000)
+    assert p.slices[0].state == SETTLING
+    decisions(p, 130_999)
+    assert p.slices[0].state == SETTLING
+    out = decisions(p, 131_000)
+    assert p.slices[0].state == OWNED and p.slices[0].owner != "a"
+    assert ("level", 0, 2, 1, 0) in out
+
+
+@pytest.mark.parametrize("line", [True, False])
+def test_take_over_with_an_empty_line_waits_a_lease_and_settles(line):
+    p = pilot(owners="abc" + ("d" if line else "-"))
+    decisions(p, 24_999)
+    assert states(p) == ("oooo" if line else "ooor")
+    decisions(p, 25_000)
+    decisions(p, 54_999)
+    assert states(p) == ("oooo" if line else "ooos")
+    decisions(p, 55_000)
+    assert states(p) == "oooo"
+
+
+def test_a_target_that_fails_aborts_to_the_old_owner():
+    p = pilot()
+    p._revoke(p.slices[0], 100_000, "b")
+    p.on_list(100_100, "update", [entry("b", "off")])
+    out = decisions(p, 100_200)
+    assert ("level", 0, 2, 1, 0) in out and p.slices[0].owner == "a" and p.slices[0].state == OWNED
+
+
+@pytest.mark.parametrize("at, emptied", [(105_000, False), (138_000, True)])
+def test_a_drained_endpoints_line_goes_within_the_grace(at, emptied):
+    p = revoking()
+    assert (("line", 0, "a", 0) in decisions(p, at)) is emptied
+
+
+def test_a_dead_owners_line_goes_at_once():
+    p = pilot()
+    p.on_list(100_000, "update", [entry("a", "off")])
+    assert ("line", 0, "a", 0) in decisions(p, 100_000)
+
+
+def test_an_id_that_comes_back_is_let_in_again():
+    p = pilot()
+    p.on_list(10, "update", [entry("a", "off")])
+    p.on_list(20, "update", [entry("a", started=20)])
+    assert not p._unfit("a", 20) and p._warmth(p.endpoints["a"], 20) == pytest.approx(0.2)
+
+
+@pytest.mark.parametrize("age, slices", [(0, 1), (75_000, 2), (150_000, 3)])
+def test_cold_endpoints_are_a_budget(age, slices):
+    p = pilot(endpoints="abcde", owners="abcd" * 5 + "----", now=0)
+    for s in p.slices.values():
+        s.since = 0
+    p.on_list(500_000 - age, "update", [entry("e", started=500_000 - age)])
+    p._weigh_up(500_000)
+    e, taken = p.endpoints["e"], 0
+    while p.burden.get("e", 0.0) + p.rate[0] <= p._room_at(e, 500_000):
+        p.burden["e"], taken = p.burden.get("e", 0.0) + p.rate[0], taken + 1
+    assert taken >= slices - 1 and p.burden.get("e", 0) <= 3.0 * p._warmth(e, 500_000) * p.unit
+
+
+def test_a_restarted_owner_gives_up_what_tips_it_over():
+    p = pilot(owners="aaaaabcd")
+    p.on_list(100_000, "update", [entry("a", started=100_000)])
+    p._weigh_up(100_000)
+    assert 1 <= len(p._cold_excess(100_000)) <= 4
+
+
+@pytest.mark.parametrize("most, after, free", [(0, 0, True), (12, 9_000, False), (12, 9_100, True)])
+def test_turns_are_an_even_gap_apart(most, after, free):
+    p = pilot(messages_most=most, messages_span=100_000)
+    p.sent_at = 1000
+    assert p._pace_allows(0, 1000 + after) is free
+
+
+def test_a_turn_that_does_not_fit_the_channel_waits():
+    p = pilot(lines_waiting_most=60.0)
+    p.turns.append((p.mark, 0, 40.0))
+    p.on_list(100_000, "update", [entry("a", "off")])
+    assert decisions(p, 100_000) == []
+    p.on_ack(100_100, 0, (p.mark + 1) % MARKS, 10)   # a later mark acked: the earlier turn has left the channel
+    assert decisions(p, 100_200) != []
+
+
+def test_an_unreachable_list_is_not_an_empty_one():
+    p = pilot(asks_list=True)
+    waits = []
+    for now in (0, 100_000, 200_000, 300_000):
+        p.on_list(now, "unavailable", [])
+        waits.append(p.ask_at - now)
+    assert waits == [10_000, 20_000, 25_000, 25_000] and states(p) == "oooooooo"
+    assert ("ask_list", True) in decisions(p, 325_000)
+
+
+@pytest.mark.parametrize("tries, aborted, took, sick", [
+    (20, 18, 0, True),         # takes ops and answers none
+    (20, 14, 3_000, True),     # aborts fast
+    (20, 14, 30_000, False),   # slow as well: overload
+    (20, 2, 3_000, False),
+    (2, 2, 0, False),          # too few to tell
+])
+def test_sick_is_told_from_overloaded(tries, aborted, took, sick):
+    p = pilot()
+    for n in "bcd":
+        heard(p, 100_000, n, 20, 0, 3_000)
+    heard(p, 100_000, "a", tries, aborted, took)
+    p._look_for_sick(100_000)
+    assert (p.endpoints["a"].sick_until > 100_000) is sick
+
+
+def test_many_bad_at_once_are_not_sick():
+    p = pilot()
+    for n in "abc":
+        heard(p, 100_000, n, 20, 20, 0)
+    p._look_for_sick(100_000)
+    assert not any(e.sick_until for e in p.endpoints.values())
+
+
+@pytest.mark.parametrize("bad, level", [("a", 1.0), ("abcd", 0.85)])
+def test_the_level_falls_only_where_the_middle_endpoint_aborts(bad, level):
+    p = pilot()
+    p._set_level([(20, 15 if n in bad else 0, 0.0) for n in "abcd"])
+    assert p.level == pytest.approx(level)
+
+
+@pytest.mark.parametrize("changed, load", [(0, 30_000), (95_000, None)])
+def test_sums_begun_before_a_move_do_not_judge_the_state_after_it(changed, load):
+    p = pilot()
+    heard(p, 100_000, "a", 10, 0, 30_000)
+    p.endpoints["a"].changed_at = changed
+    assert p._load(p.endpoints["a"], 100_000) == load
+
+
+@pytest.mark.parametrize("took, moved", [(20_000, True), (5_000, False)])
+def test_the_mover_takes_slices_from_a_hot_endpoint_to_the_coolest(took, moved):
+    p = pilot(owners="aaaabcd")
+    for now in (300_000, 350_000, 400_000):
+        for n, t in (("a", took), ("b", 3_000), ("c", 2_000), ("d", 3_000)):
+            heard(p, now, n, 10, 0, t)
+        decisions(p, now)
+    assert ("c" in [s.target for s in p.slices.values()]) is moved
+
+
+def test_chance_and_rendezvous_are_the_same_everywhere():
+    assert [Lcg(7).draw(100) for _ in range(2)] == [Lcg(7).draw(100)] * 2
+    assert rendezvous("a", 1, 1.0) == rendezvous("a", 1, 1.0) != rendezvous("b", 1, 1.0)
+    wins = sum(rendezvous("a", n, 3.0) > rendezvous("b", n, 1.0) for n in range(1000))
+    assert 700 < wins < 800
