--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -310,7 +310,7 @@
         order = sorted(fit, key=lambda e: (-rendezvous(e.name, s.number, e.size * self._warmth(e, now)), e.name))
         for e in order:
             if self.burden.get(e.name, 0.0) + self.rate[s.number] <= self._room_at(e, now) and (
-                    self._warmth(e, now) < 1.0 or not self._strained(self._met(e, now))):
+                    not self._strained(self._met(e, now))):
                 return e.name
         warm = [e for e in fit if self._warmth(e, now) >= 1.0] or fit or live
         least = min(warm, key=lambda e: (self.burden.get(e.name, 0.0) / (e.size * self._warmth(e, now)), e.name),
