--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -33,6 +33,7 @@
 SICK_SLOW = 1.5           # multiple of the usual time; slower acks beside the aborts tell overload, not sickness
 SICK_HOLD = 150_000       # 0.1 ms; no slices for a sick endpoint, doubled for each time it was sick again
 COLD_FILL = 0.4           # share of the tipping load that is offered: ops cost about double where no key is known
+SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
 FULL_AT = 1.25            # multiple of the fair share past which an orphan goes to its next choice
 ROOM = 0.8                # share of the channel's waiting lines used; the rest covers what cannot be foreseen
@@ -255,6 +256,10 @@
             if bearer:
                 self.burden[bearer] = self.burden.get(bearer, 0.0) + self.rate[n]
         live = self._live(now)
+        # Under overload each op comes several times over, and only what is acked tells what endpoints can do.
+        acked = sum(m[0] - m[1] for m in (self._met(e, now) for e in live))
+        came = sum(n for s in self.slices.values() for at, n, _ in s.samples if now - at <= self.recent)
+        self.served = max(SERVED_LEAST, min(1.0, acked / came)) if came else 1.0
         self.unit = sum(self.rate.values()) / max(1e-9, sum(e.size for e in live))  # fair burden for size 1
 
     def _met(self, e: Endpoint, now: int, after: int = 0) -> tuple[int, int, float]:
@@ -300,7 +305,7 @@
         """What an endpoint may bear in all. A cold one is a budget of the tipping multiple; every pilot applies
         it to its own slices' rates, so together they keep it."""
         warmth, fair = self._warmth(e, now), self.unit * e.size
-        return FULL_AT * fair if warmth >= 1.0 else min(1.0, COLD_FILL * self.tip) * warmth * fair
+        return FULL_AT * fair if warmth >= 1.0 else min(1.0, COLD_FILL * self.tip) * warmth * fair * self.served
 
     def _choose(self, s: Slice, now: int) -> Optional[str]:
         """The rendezvous choice among live endpoints with room; with no room anywhere, the least burdened warm
@@ -393,7 +398,7 @@
         due = []
         for e in self._live(now):
             if self._warmth(e, now) < 1.0 and self.burden.get(e.name, 0.0) > 0:
-                limit = COLD_SHED * self.tip * self._warmth(e, now) * self.unit * e.size
+                limit = COLD_SHED * self.tip * self._warmth(e, now) * self.unit * e.size * self.served
                 over = self.burden[e.name] - limit
                 own = [s for _, s in sorted(self.slices.items()) if s.owner == e.name and s.state == OWNED]
                 for s in own[:-1] if over > 0 else []:
