--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -33,6 +33,7 @@
 SICK_SLOW = 1.5           # multiple of the usual time; slower acks beside the aborts tell overload, not sickness
 SICK_HOLD = 150_000       # 0.1 ms; no slices for a sick endpoint, doubled for each time it was sick again
 COLD_FILL = 0.4           # share of the tipping load that is offered: ops cost about double where no key is known
+SERVED_WELL = 0.5         # acked share of ops come, repeats too, under which endpoints as a whole cannot follow
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
 FULL_AT = 1.25            # multiple of the fair share past which an orphan goes to its next choice
@@ -259,7 +260,7 @@
         # Under overload each op comes several times over, and only what is acked tells what endpoints can do.
         acked = sum(m[0] - m[1] for m in (self._met(e, now) for e in live))
         came = sum(n for s in self.slices.values() for at, n, _ in s.samples if now - at <= self.recent)
-        self.served = max(SERVED_LEAST, min(1.0, acked / came)) if came else 1.0
+        self.served = max(SERVED_LEAST, min(1.0, acked / came / SERVED_WELL)) if came else 1.0
         self.unit = sum(self.rate.values()) / max(1e-9, sum(e.size for e in live))  # fair burden for size 1
 
     def _met(self, e: Endpoint, now: int, after: int = 0) -> tuple[int, int, float]:
