--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -30,7 +30,7 @@
 SICK_SHARE = 0.5          # share of ops aborted; a busy but sound endpoint stays well below
 SICK_LEAST = 8            # ops; fewer tell nothing of a share
 SICK_MOST = 0.34          # share of endpoints; when more look bad at once the cause is not the endpoint
-SICK_SLOW = 1.5           # multiple of the usual time; slower acks beside the aborts tell overload, not sickness
+SICK_SLOW = 0.7           # share of the tightest target latency; slower acks beside the aborts tell overload
 SICK_HOLD = 150_000       # 0.1 ms; no slices for a sick endpoint, doubled for each time it was sick again
 COLD_FILL = 0.4           # share of the tipping load that is offered: ops cost about double where no key is known
 SERVED_WELL = 0.5         # acked share of ops come, repeats too, under which endpoints as a whole cannot follow
@@ -279,10 +279,8 @@
         The held ones count as well, so that no chain of judgements empties the fleet."""
         live = self._live(now)
         met = {e.name: self._met(e, now) for e in live if now >= e.sick_until}
-        times = sorted(m[2] for m in met.values() if m[2])
-        usual = times[len(times) // 2] if times else 0
         bad = [e for e in live if e.name in met and (m := met[e.name])[0] >= SICK_LEAST
-               and m[1] > SICK_SHARE * m[0] and m[2] < SICK_SLOW * usual]
+               and m[1] > SICK_SHARE * m[0] and m[2] < SICK_SLOW * self.tight]
         if len(bad) + len(live) - len(met) <= SICK_MOST * len(live):
             for e in bad:
                 e.sick_until = now + (SICK_HOLD << min(e.strikes, 3))
