--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -13,7 +13,7 @@
 from cedarshift.interface import Entry, Terms
 
 # Constants: unit, then the reason for the size.
-BEAT = 500                # 0.1 ms; how often a pilot looks at what is due: small beside any lease or grace
+BEAT = 250                # 0.1 ms; how often a pilot looks at what is due: small beside any lease or grace
 CHECK_EVERY = 20_000      # 0.1 ms; pace of the mover: a jam grows within seconds, so faster than the design's 5 s
 MARGIN = 0.5              # share over the mean at which an endpoint counts as hot; over noise and machine spread
 CHECKS_RUNNING = 2        # checks; the design's two, so that one late report moves nothing
@@ -76,6 +76,7 @@
     def __init__(self, zone: str) -> None:
         self.zone, self.joined, self.left_at = zone, True, 0
         self.acked: Optional[int] = None     # newest mark acked since it joined
+        self.acked_at = 0                    # when that mark took effect there
         self.table: Optional[int] = None     # table it was put on, at sites without slices
 
 
@@ -202,6 +203,9 @@
         p = self.proxies.get(proxy)
         if p and p.joined and (p.acked is None or not self._older(mark, p.acked)):
             p.acked = mark
+            at = next((at for m, at, _ in self.turns if m == mark), None)
+            # The order's own age says when it took effect, which is sooner than the ack was heard.
+            p.acked_at = now if at is None else min(now, at + took)
         while self.turns and self._older(self.turns[0][0], mark):
             self.turns.popleft()             # the channel keeps order: earlier turns have left it
 
@@ -321,18 +325,18 @@
                     default=None)
         return least.name if least else None
 
-    def _stopped(self, s: Slice, now: int) -> bool:
-        """Every proxy has acked the revoke, or its stream broke a lease ago; none that was never joined since the
-        slice came here can still hold it after one lease."""
-        if now < s.given_at + self.lease:
-            return False
+    def _stopped(self, s: Slice, now: int) -> Optional[int]:
+        """When the last proxy stopped: it has acked the revoke, or its stream broke a lease ago; None while one may
+        go on. One that was never joined since the slice came here can hold it no longer than a lease."""
+        ends = [s.since, s.given_at + self.lease]
         for p in self.proxies.values():
-            if p.joined:
-                if s.mark is not None and (p.acked is None or self._older(p.acked, s.mark)):
-                    return False
-            elif now < p.left_at + self.lease:
-                return False
-        return True
+            if not p.joined:
+                ends.append(p.left_at + self.lease)
+            elif s.mark is not None:
+                if p.acked is None or self._older(p.acked, s.mark):
+                    return None
+                ends.append(p.acked_at)
+        return max(ends) if max(ends) <= now else None
 
     # ---- the slice's state machine: each step gives its lines
 
@@ -368,8 +372,8 @@
     def _advance(self, now: int) -> None:
         """Steps that need no order."""
         for _, s in sorted(self.slices.items()):
-            if s.state == REVOKING and self._stopped(s, now):
-                s.state, s.since = SETTLING, now
+            if s.state == REVOKING and (at := self._stopped(s, now)) is not None:
+                s.state, s.since = SETTLING, at
             if s.state == SETTLING and now >= s.since + self.settle:
                 s.state = EMPTY
 
