--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -36,7 +36,7 @@
 SERVED_WELL = 0.5         # acked share of ops come, repeats too, under which endpoints as a whole cannot follow
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
-FULL_AT = 1.25            # multiple of the fair share past which an orphan goes to its next choice
+FULL_AT = 1.0             # multiple of the fair share past which an orphan goes to its next choice
 ROOM = 0.8                # share of the channel's waiting lines used; the rest covers what cannot be foreseen
 LEVEL_STEP = 0.05         # added to the level a check; full again within some ten checks
 LEVEL_SHARE = 0.85        # what is left of the level after a check under overload
@@ -315,7 +315,7 @@
         one, then a cold or sick one: a slice must not stay without an owner."""
         live = self._live(now)
         fit = [e for e in live if not self._unfit(e.name, now)]
-        order = sorted(fit, key=lambda e: (-rendezvous(e.name, s.number, e.size * self._warmth(e, now)), e.name))
+        order = sorted(fit, key=lambda e: (-rendezvous(e.name, s.number, e.size), e.name))
         for e in order:
             if self.burden.get(e.name, 0.0) + self.rate[s.number] <= self._room_at(e, now) and (
                     not self._strained(self._met(e, now))):
