--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -14,8 +14,9 @@
 
 # Constants: unit, then the reason for the size.
 BEAT = 250                # 0.1 ms; how often a pilot looks at what is due: small beside any lease or grace
+WEIGH_EVERY = 2_000       # 0.1 ms; rates and warmth change slowly beside this
 CHECK_EVERY = 20_000      # 0.1 ms; pace of the mover: a jam grows within seconds, so faster than the design's 5 s
-MARGIN = 0.5              # share over the mean at which an endpoint counts as hot; over noise and machine spread
+MARGIN = 0.2              # share over the mean at which an endpoint counts as hot: the design's figure
 CHECKS_RUNNING = 2        # checks; the design's two, so that one late report moves nothing
 MOVES_A_TURN = 2          # slices; the design's figure, in a small fleet
 MOVES_PART = 6            # endpoints to a move a turn in a larger fleet: hot slices come several at a time
@@ -143,13 +144,14 @@
         self.check_at: Optional[int] = None
         self.level, self.level_sent = 1.0, 1.0
         self.laid: dict[tuple[int, str], bool] = {}
+        self.news, self.weighed_at = True, 0  # the figures below are worked out anew when something changed
         self.out: deque = deque()
         self.fresh = False                   # something came in since the last decisions
 
     # ---- inputs: only what is known changes here
 
     def on_list(self, now: int, kind: str, entries: list[Entry]) -> None:
-        self.fresh = True
+        self.fresh = self.news = True
         if kind == "unavailable":            # an unreachable list is not an empty one: the old one stands
             self.asking, self.ask_at = False, now + self.ask_wait
             self.ask_wait = min(self.ask_most, 2 * self.ask_wait)
@@ -183,7 +185,7 @@
             self.proxies[proxy].joined, self.proxies[proxy].left_at = False, now
 
     def on_given(self, now: int, slice_id: int, given: bool) -> None:
-        self.fresh = True
+        self.fresh = self.news = True
         old = self.slices.pop(slice_id, None)
         if given:
             s = self.slices[slice_id] = Slice(slice_id, now)
@@ -212,6 +214,7 @@
     def on_met(self, now: int, endpoint: str, tries: int, aborted: int, took: int, span: int,
                report: Optional[float]) -> None:
         if endpoint in self.endpoints and tries > 0:
+            self.news = True
             self.endpoints[endpoint].samples.append((now, tries, aborted, took, span, report))
 
     def on_heat(self, now: int, slice_id: int, ops: int, unanswered: int, span: int) -> None:
@@ -498,8 +501,10 @@
     def _turn(self, now: int) -> None:
         """One turn: all that is due and fits becomes one delta message a proxy, with one mark."""
         joined = sum(p.joined for p in self.proxies.values())
-        self._look_for_sick(now)
-        self._weigh_up(now)
+        if self.news or now >= self.weighed_at + WEIGH_EVERY:
+            self.news, self.weighed_at = False, now
+            self._look_for_sick(now)
+            self._weigh_up(now)
         self._advance(now)
         due = self._due(now) + self._check(now)
         waiting = sum(t[2] for t in self.turns)
@@ -518,6 +523,7 @@
                 break
             lines += self._step(step, self.slices.get(n), name, now)
         if lines or unmarked:
+            self.news = True
             lines.append(("mark", mark, True))
             self.out.extend(lines)
             self.turns.append((mark, now, joined * (self.head + len(lines) - 1)))
