--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -20,6 +20,7 @@
 CHECKS_RUNNING = 2        # checks; the design's two, so that one late report moves nothing
 MOVES_A_TURN = 2          # slices; the design's figure, in a small fleet
 MOVES_PART = 6            # endpoints to a move a turn in a larger fleet: hot slices come several at a time
+COOL = 0.5                # share of the mean under which an endpoint is cool though a few of its ops abort
 MOVES_A_SOURCE = 2        # slices that one hot endpoint gives up a turn: more would overshoot on late sums
 STRAINED = 0.08           # share of ops aborted past which an endpoint is worth relieving
 HOLD = 200_000            # 0.1 ms; a moved slice stays put until its load has shown and its keys are known
@@ -436,7 +437,8 @@
         # A report is believed where the latency does not gainsay it: a count is larger on a larger machine, and a
         # false nought would draw the hot slices.
         # Under overload every endpoint is strained, and nothing moves: the cause is not the endpoint.
-        idle = [e for e in live if self._may_take(e, now) and (e.name not in lag or not self._strained(met[e.name]))]
+        idle = [e for e in live if self._may_take(e, now) and (
+            lag.get(e.name, usual) < usual * COOL or e.name not in lag or not self._strained(met[e.name]))]
         idle.sort(key=lambda t: (load.get(t.name, mean), t.name))
         for e in sorted(live, key=lambda e: (-load.get(e.name, mean), e.name)):
             hot = load.get(e.name, mean) > mean * (1 + MARGIN) and lag[e.name] > usual * (1 + MARGIN) and (
