--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -19,8 +19,7 @@
 MARGIN = 0.2              # share over the mean at which an endpoint counts as hot: the design's figure
 CHECKS_RUNNING = 2        # checks; the design's two, so that one late report moves nothing
 MOVES_A_TURN = 2          # slices; the design's figure, in a small fleet
-MOVES_PART = 6            # endpoints to a move a turn in a larger fleet: hot slices come several at a time
-COOL = 0.5                # share of the mean under which an endpoint is cool though a few of its ops abort
+MOVES_PART = 4            # endpoints to a move a turn in a larger fleet: hot slices come several at a time
 MOVES_A_SOURCE = 2        # slices that one hot endpoint gives up a turn: more would overshoot on late sums
 STRAINED = 0.08           # share of ops aborted past which an endpoint is worth relieving
 HOLD = 200_000            # 0.1 ms; a moved slice stays put until its load has shown and its keys are known
@@ -437,11 +436,9 @@
         # A report is believed where the latency does not gainsay it: a count is larger on a larger machine, and a
         # false nought would draw the hot slices.
         # Under overload every endpoint is strained, and nothing moves: the cause is not the endpoint.
-        idle = [e for e in live if self._may_take(e, now) and (
-            lag.get(e.name, usual) < usual * COOL or e.name not in lag or not self._strained(met[e.name]))]
-        idle.sort(key=lambda t: (load.get(t.name, mean), t.name))
+        idle = [e for e in live if self._may_take(e, now) and (e.name not in lag or not self._strained(met[e.name]))]
         for e in sorted(live, key=lambda e: (-load.get(e.name, mean), e.name)):
-            hot = load.get(e.name, mean) > mean * (1 + MARGIN) and lag[e.name] > usual * (1 + MARGIN) and (
+            hot = load.get(e.name, mean) > mean * (1 + MARGIN) and lag.get(e.name, usual) > usual * (1 + MARGIN) and (
                 self._strained(met[e.name]))
             e.hot_checks = e.hot_checks + 1 if hot else 0  # an endpoint with no fresh sums is not hot
             if e.hot_checks < CHECKS_RUNNING:
@@ -454,9 +451,12 @@
                 # What a slice brings is its ops at the fleet's usual cost: a jammed source's own figures say more
                 # of its queue than of the slice, and would find every slice too large to move.
                 part = mean * self.rate[s.number] / even
-                if len(due) < most and moved < MOVES_A_SOURCE and idle and idle[0] is not e and (
-                        load.get(idle[0].name, mean) + part < load[e.name] - part):
-                    due.append((3, s.number, "move", idle.pop(0).name))
+                if len(due) >= most or moved >= MOVES_A_SOURCE or not idle:
+                    break
+                cool = min(idle, key=lambda t: (load.get(t.name, mean), t.name))
+                if cool is not e and load.get(cool.name, mean) + part < load[e.name] - part:
+                    due.append((3, s.number, "move", cool.name))
+                    load[cool.name] = load.get(cool.name, mean) + part   # so that not all go to one
                     moved, e.hot_checks = moved + 1, 0
         return due
 
