--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -42,7 +42,8 @@
 LEVEL_STEP = 0.05         # added to the level a check; full again within some ten checks
 LEVEL_SHARE = 0.85        # what is left of the level after a check under overload
 LEVEL_LEAST = 0.4         # the level never goes below: deeper cuts reject what would be acked
-OVERLOAD = 0.2            # share of ops aborted at the middle endpoint; ordinary days stay well below
+OVERLOAD = 0.6            # share of the tightest target latency at the middle endpoint, aborted ops as time-outs;
+                          # past it the tail of the ops misses the target everywhere, and less would earn more
 ASK_AGAIN = 10_000        # 0.1 ms; first wait after a failed list call, then doubled up to a quarter of the bound
 ALL_TABLES = 65535        # the table number that stands for all
 MARKS = 65536             # marks are numbered in a ring of this size
@@ -488,8 +489,8 @@
     def _set_level(self, met: list[tuple[int, int, float]]) -> None:
         """One level for all op types. Only the middle endpoint tells of overload: a few full ones beside idle ones
         are imbalance, which the mover answers, and rejecting ops everywhere would not."""
-        share = sorted(aborted / tries for tries, aborted, _ in met if tries)
-        if share and share[len(share) // 2] > OVERLOAD:
+        lag = sorted(self._lag(m) for m in met if m[0])
+        if lag and lag[len(lag) // 2] > OVERLOAD * self.tight:
             self.level = max(LEVEL_LEAST, self.level * LEVEL_SHARE)
         else:
             self.level = min(1.0, self.level + LEVEL_STEP)
