--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -42,8 +42,7 @@
 LEVEL_STEP = 0.05         # added to the level a check; full again within some ten checks
 LEVEL_SHARE = 0.85        # what is left of the level after a check under overload
 LEVEL_LEAST = 0.4         # the level never goes below: deeper cuts reject what would be acked
-OVERLOAD = 0.6            # share of the tightest target latency at the middle endpoint, aborted ops as time-outs;
-                          # past it the tail of the ops misses the target everywhere, and less would earn more
+OVERLOAD = 0.2            # share of ops aborted at the middle endpoint; ordinary days stay well below
 ASK_AGAIN = 10_000        # 0.1 ms; first wait after a failed list call, then doubled up to a quarter of the bound
 ALL_TABLES = 65535        # the table number that stands for all
 MARKS = 65536             # marks are numbered in a ring of this size
@@ -273,7 +272,19 @@
 
     def _met(self, e: Endpoint, now: int, after: int = 0) -> tuple[int, int, float]:
         """Tries, aborted ops and mean time of the acked ones over the last periods."""
-        got = [s for s in e.samples if now - s[0] <= self.recent and s[0] - s[4] >= after]
+        return self._sum([s for s in e.samples if now - s[0] <= self.recent and s[0] - s[4] >= after])
+
+    def _last_met(self, e: Endpoint, now: int) -> tuple[int, int, float]:
+        """The same over the newest sums alone, as many as hold enough ops: a change shows there first."""
+        got: list[tuple] = []
+        for s in reversed(e.samples):
+            if now - s[0] > self.recent or (sum(g[1] for g in got) >= SICK_LEAST and s[0] != got[-1][0]):
+                break
+            got.append(s)
+        return self._sum(got)
+
+    @staticmethod
+    def _sum(got: list[tuple]) -> tuple[int, int, float]:
         tries, aborted = sum(s[1] for s in got), sum(s[2] for s in got)
         acked = [(s[1] - s[2], s[3]) for s in got if s[3] > 0 and s[1] > s[2]]
         n = sum(a for a, _ in acked)
@@ -286,7 +297,7 @@
         would only pass the load on. Harm: a sound endpoint whose few ops all fail for the clients' own reasons.
         The held ones count as well, so that no chain of judgements empties the fleet."""
         live = self._live(now)
-        met = {e.name: self._met(e, now) for e in live if now >= e.sick_until}
+        met = {e.name: self._last_met(e, now) for e in live if now >= e.sick_until}
         bad = [e for e in live if e.name in met and (m := met[e.name])[0] >= SICK_LEAST
                and m[1] > SICK_SHARE * m[0] and m[2] < SICK_SLOW * self.tight]
         if len(bad) + len(live) - len(met) <= SICK_MOST * len(live):
@@ -489,8 +500,8 @@
     def _set_level(self, met: list[tuple[int, int, float]]) -> None:
         """One level for all op types. Only the middle endpoint tells of overload: a few full ones beside idle ones
         are imbalance, which the mover answers, and rejecting ops everywhere would not."""
-        lag = sorted(self._lag(m) for m in met if m[0])
-        if lag and lag[len(lag) // 2] > OVERLOAD * self.tight:
+        share = sorted(aborted / tries for tries, aborted, _ in met if tries)
+        if share and share[len(share) // 2] > OVERLOAD:
             self.level = max(LEVEL_LEAST, self.level * LEVEL_SHARE)
         else:
             self.level = min(1.0, self.level + LEVEL_STEP)
