--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -299,7 +299,7 @@
         live = self._live(now)
         met = {e.name: self._last_met(e, now) for e in live if now >= e.sick_until}
         bad = [e for e in live if e.name in met and (m := met[e.name])[0] >= SICK_LEAST
-               and m[1] > SICK_SHARE * m[0] and m[2] < SICK_SLOW * self.tight]
+               and m[1] > SICK_SHARE * m[0] and max(m[2], self._met(e, now)[2]) < SICK_SLOW * self.tight]
         if len(bad) + len(live) - len(met) <= SICK_MOST * len(live):
             for e in bad:
                 e.sick_until = now + (SICK_HOLD << min(e.strikes, 3))
