--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -203,3 +203,34 @@
     assert rendezvous("a", 1, 1.0) == rendezvous("a", 1, 1.0) != rendezvous("b", 1, 1.0)
     wins = sum(rendezvous("a", n, 3.0) > rendezvous("b", n, 1.0) for n in range(1000))
     assert 700 < wins < 800
+
+
+@pytest.mark.parametrize("acked, budget", [(20, 1.0), (5, 0.5), (0, 0.1)])
+def test_cold_budgets_shrink_where_little_of_what_comes_is_acked(acked, budget):
+    p = pilot()
+    heard(p, 100_000, "a", 20, 20 - acked, 3_000)
+    for at in (90_000, 95_000, 100_000):
+        p.on_heat(at, 0, 20, 0, 10_000)
+    p._weigh_up(100_000)
+    assert p.served == pytest.approx(budget)
+
+
+def test_an_unheard_target_may_take_several_slices():
+    p = pilot(endpoints="abcde", owners="aaaabbbbcd")
+    for now in (300_000, 350_000, 400_000):
+        for n, took in (("a", 25_000), ("b", 25_000), ("c", 30_000), ("d", 30_000)):
+            heard(p, now, n, 10, 2, took)
+        p._weigh_up(now)
+        p.check_at = now
+        due = p._check(now)
+    assert all(step == "move" and target == "e" for _, _, step, target in due)
+
+
+def test_a_jammed_endpoint_with_no_newest_ack_is_not_sick():
+    p = pilot()
+    for n in "bcd":
+        heard(p, 100_000, n, 20, 0, 3_000)
+    p.on_met(90_000, "a", 20, 12, 40_000, 10_000, None)
+    p.on_met(100_000, "a", 20, 20, 0, 10_000, None)
+    p._look_for_sick(100_000)
+    assert p.endpoints["a"].sick_until == 0
