--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -323,6 +323,8 @@
         """What an endpoint may bear in all. A cold one is a budget of the tipping multiple; every pilot applies
         it to its own slices' rates, so together they keep it."""
         warmth, fair = self._warmth(e, now), self.unit * e.size
+        if warmth < 1.0 and e.changed_at and now > e.changed_at and not self._met(e, now, e.changed_at)[0]:
+            return 0.0                       # what it was given last has not shown in its sums yet
         return FULL_AT * fair if warmth >= 1.0 else min(1.0, COLD_FILL * self.tip) * warmth * fair * self.served
 
     def _choose(self, s: Slice, now: int) -> Optional[str]:
