--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -34,6 +34,7 @@
 SICK_SLOW = 0.7           # share of the tightest target latency; slower acks beside the aborts tell overload
 SICK_HOLD = 150_000       # 0.1 ms; no slices for a sick endpoint, doubled for each time it was sick again
 COLD_FILL = 0.4           # share of the tipping load that is offered: ops cost about double where no key is known
+COLD_MOST = 0.75          # share of the fair burden at its present warmth; a listed size says nothing of its speed
 SERVED_WELL = 0.5         # acked share of ops come, repeats too, under which endpoints as a whole cannot follow
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
@@ -264,6 +265,7 @@
             if bearer:
                 self.burden[bearer] = self.burden.get(bearer, 0.0) + self.rate[n]
         live = self._live(now)
+        self.mean_size = sum(e.size for e in live) / max(1, len(live))
         # Under overload each op comes several times over, and only what is acked tells what endpoints can do.
         acked = sum(m[0] - m[1] for m in (self._met(e, now) for e in live))
         came = sum(n for s in self.slices.values() for at, n, _ in s.samples if now - at <= self.recent)
@@ -322,10 +324,11 @@
     def _room_at(self, e: Endpoint, now: int) -> float:
         """What an endpoint may bear in all. A cold one is a budget of the tipping multiple; every pilot applies
         it to its own slices' rates, so together they keep it."""
-        warmth, fair = self._warmth(e, now), self.unit * e.size
+        warmth = self._warmth(e, now)
+        fair = self.unit * (e.size if warmth >= 1.0 else min(e.size, self.mean_size))
         if warmth < 1.0 and e.changed_at and now > e.changed_at and not self._met(e, now, e.changed_at)[0]:
             return 0.0                       # what it was given last has not shown in its sums yet
-        return FULL_AT * fair if warmth >= 1.0 else min(1.0, COLD_FILL * self.tip) * warmth * fair * self.served
+        return FULL_AT * fair if warmth >= 1.0 else min(COLD_MOST, COLD_FILL * self.tip) * warmth * fair * self.served
 
     def _choose(self, s: Slice, now: int) -> Optional[str]:
         """The rendezvous choice among live endpoints with room; with no room anywhere, the least burdened warm
