--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -34,7 +34,7 @@
 SICK_SLOW = 0.7           # share of the tightest target latency; slower acks beside the aborts tell overload
 SICK_HOLD = 150_000       # 0.1 ms; no slices for a sick endpoint, doubled for each time it was sick again
 COLD_FILL = 0.4           # share of the tipping load that is offered: ops cost about double where no key is known
-COLD_MOST = 0.75          # share of the fair burden at its present warmth; a listed size says nothing of its speed
+COLD_MOST = 1.0           # share of the fair burden at its present warmth; a listed size says nothing of its speed
 SERVED_WELL = 0.5         # acked share of ops come, repeats too, under which endpoints as a whole cannot follow
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
@@ -417,11 +417,14 @@
         return sorted(due, key=lambda d: (d[0], d[1]))
 
     def _cold_excess(self, now: int) -> list[tuple[int, int, str, Optional[str]]]:
-        """A restarted owner is cold with all its slices: those past its budget leave before it tips over."""
+        """A restarted owner is cold with all its slices: those past its budget leave before it tips over. So do all
+        but one where its own ops are past the target latency while the fleet cannot follow: a storm of repeats."""
         due = []
         for e in self._live(now):
             if self._warmth(e, now) < 1.0 and self.burden.get(e.name, 0.0) > 0:
-                limit = COLD_SHED * self.tip * self._warmth(e, now) * self.unit * e.size * self.served
+                met = self._met(e, now)
+                jam = self.served < 1.0 and met[0] and self._lag(met) > self.tight
+                limit = 0.0 if jam else COLD_SHED * self.tip * self._warmth(e, now) * self.unit * e.size * self.served
                 over = self.burden[e.name] - limit
                 own = [s for _, s in sorted(self.slices.items()) if s.owner == e.name and s.state == OWNED]
                 for s in own[:-1] if over > 0 else []:
