--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -34,6 +34,7 @@
 SICK_SLOW = 0.7           # share of the tightest target latency; slower acks beside the aborts tell overload
 SICK_HOLD = 150_000       # 0.1 ms; no slices for a sick endpoint, doubled for each time it was sick again
 COLD_FILL = 0.4           # share of the tipping load that is offered: ops cost about double where no key is known
+COLD_FIRST = 0.5          # share of that budget given first: how fast the machine is shows only in its sums
 SERVED_WELL = 0.5         # acked share of ops come, repeats too, under which endpoints as a whole cannot follow
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
@@ -265,11 +266,10 @@
                 self.burden[bearer] = self.burden.get(bearer, 0.0) + self.rate[n]
         live = self._live(now)
         self.mean_size = sum(e.size for e in live) / max(1, len(live))
-        # Under overload each op comes several times over, and only what is acked tells what endpoints can do;
-        # squared, as each repeat also meets keys not known yet and the repeats grow with every op that jams.
+        # Under overload each op comes several times over, and only what is acked tells what endpoints can do.
         acked = sum(m[0] - m[1] for m in (self._met(e, now) for e in live))
         came = sum(n for s in self.slices.values() for at, n, _ in s.samples if now - at <= self.recent)
-        self.served = max(SERVED_LEAST, min(1.0, (acked / came / SERVED_WELL) ** 2)) if came else 1.0
+        self.served = max(SERVED_LEAST, min(1.0, acked / came / SERVED_WELL)) if came else 1.0
         self.unit = sum(self.rate.values()) / max(1e-9, sum(e.size for e in live))  # fair burden for size 1
 
     def _met(self, e: Endpoint, now: int, after: int = 0) -> tuple[int, int, float]:
@@ -328,7 +328,8 @@
         fair = self.unit * (e.size if warmth >= 1.0 else min(e.size, self.mean_size))
         if warmth < 1.0 and e.changed_at and now > e.changed_at and not self._met(e, now, e.changed_at)[0]:
             return 0.0                       # what it was given last has not shown in its sums yet
-        return FULL_AT * fair if warmth >= 1.0 else min(1.0, COLD_FILL * self.tip) * warmth * fair * self.served
+        first = 1.0 if e.changed_at > (e.started or 0) else COLD_FIRST
+        return FULL_AT * fair if warmth >= 1.0 else first * min(1.0, COLD_FILL * self.tip) * warmth * fair * self.served
 
     def _choose(self, s: Slice, now: int) -> Optional[str]:
         """The rendezvous choice among live endpoints with room; with no room anywhere, the least burdened warm
