--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -45,6 +45,7 @@
 LEVEL_LEAST = 0.4         # the level never goes below: deeper cuts reject what would be acked
 OVERLOAD = 0.2            # share of ops aborted at the middle endpoint; ordinary days stay well below
 ASK_AGAIN = 10_000        # 0.1 ms; first wait after a failed list call, then doubled up to a quarter of the bound
+RENEW = 8                 # longest waits after which a subscription that seems sound is asked for again
 ALL_TABLES = 65535        # the table number that stands for all
 MARKS = 65536             # marks are numbered in a ring of this size
 
@@ -79,7 +80,7 @@
         self.zone, self.joined, self.left_at = zone, True, 0
         self.acked: Optional[int] = None     # newest mark acked since it joined
         self.acked_at = 0                    # when that mark took effect there
-        self.table: Optional[int] = None     # table it was put on, at sites without slices
+        self.reached: Optional[int] = None   # newest mark, or without slices the table, ordered since it joined
 
 
 class Slice:
@@ -110,7 +111,7 @@
         self.slices_on = terms.slices > 0
         self.single = terms.single_owner
         self.gone_binds, self.asks = terms.gone_binds, terms.asks_list
-        self.zones, self.pilots = list(terms.zones), max(1, terms.pilots)
+        self.zones = list(terms.zones)
         ops = terms.op_types
         self.all_ops = (1 << len(ops)) - 1
         self.writes = sum(1 << i for i, op in enumerate(ops) if op.writes)
@@ -141,7 +142,7 @@
         self.turns: deque = deque()          # (mark, ordered at, lines) of turns not yet known to have left
         self.sent_at: Optional[int] = None   # when the last turn went out
         self.beat_nonce, self.beat_due = 0, None
-        self.asking, self.ask_at, self.ask_wait = False, 0, ASK_AGAIN
+        self.ask_at, self.ask_wait = 0, ASK_AGAIN
         self.check_at: Optional[int] = None
         self.level, self.level_sent = 1.0, 1.0
         self.laid: dict[tuple[int, str], bool] = {}
@@ -154,12 +155,12 @@
     def on_list(self, now: int, kind: str, entries: list[Entry]) -> None:
         self.fresh = self.news = True
         if kind == "unavailable":            # an unreachable list is not an empty one: the old one stands
-            self.asking, self.ask_at = False, now + self.ask_wait
+            self.ask_at = now + self.ask_wait
             self.ask_wait = min(self.ask_most, 2 * self.ask_wait)
             return
         if kind != "restored":
-            self.ask_wait, self.asking = ASK_AGAIN, True
-            self.ask_at = now + 8 * self.ask_most
+            # Asked again now and then all the same: a subscription may have broken without a word.
+            self.ask_wait, self.ask_at = ASK_AGAIN, now + RENEW * self.ask_most
         for e in entries:
             known = self.endpoints.setdefault(e.endpoint, Endpoint(e.endpoint))
             if e.phase != "on" and known.phase == "on":
@@ -418,14 +419,15 @@
         return sorted(due, key=lambda d: (d[0], d[1]))
 
     def _cold_excess(self, now: int) -> list[tuple[int, int, str, Optional[str]]]:
-        """A restarted owner is cold with all its slices: those past its budget leave before it tips over."""
+        """A restarted owner is cold with all its slices: those past its budget leave before it tips over: the
+        last one too, as a slice in demand can be too much alone."""
         due = []
         for e in self._live(now):
             if self._warmth(e, now) < 1.0 and self.burden.get(e.name, 0.0) > 0:
                 limit = COLD_SHED * self.tip * self._warmth(e, now) * self.unit * e.size * self.served
                 over = self.burden[e.name] - limit
                 own = [s for _, s in sorted(self.slices.items()) if s.owner == e.name and s.state == OWNED]
-                for s in own[:-1] if over > 0 else []:
+                for s in own:
                     if over > 0:
                         over -= self.rate[s.number]
                         due.append((0, s.number, "shed", None))
@@ -529,7 +531,7 @@
         due = self._due(now) + self._check(now)
         waiting = sum(t[2] for t in self.turns)
         unmarked = any(s.state == REVOKING and s.mark is not None for s in self.slices.values()) and any(
-            p.joined and p.acked is None and self._unreached(p) for p in self.proxies.values())
+            p.joined and p.reached is None for p in self.proxies.values())
         if unmarked:
             due.append((2, -1, "mark", None))
         if self.can_level and self.slices and abs(self.level - self.level_sent) >= LEVEL_STEP / 2:
@@ -549,10 +551,7 @@
             self.turns.append((mark, now, joined * (self.head + len(lines) - 1)))
             self.sent_at = now
             for p in self.proxies.values():
-                p.table = mark if p.joined else p.table
-
-    def _unreached(self, p: Proxy) -> bool:
-        return p.table is None
+                p.reached = mark if p.joined else p.reached
 
     def _step(self, step: str, s: Optional[Slice], name: Optional[str], now: int) -> list[tuple]:
         if step == "level":
@@ -585,8 +584,8 @@
                     self.laid[t, name] = name in want
         for n, p in sorted(self.proxies.items()):
             t = zones.index(p.zone) if p.zone in zones else 0
-            if p.joined and p.table is None and any(on for (k, _), on in self.laid.items() if k == t):
-                p.table = t
+            if p.joined and p.reached is None and any(on for (k, _), on in self.laid.items() if k == t):
+                p.reached = t
                 self.out.append(("install", n, 0, t))
 
     def next_decision(self, now: int) -> Optional[tuple]:
--- a/cedarshift/interface.py
+++ b/cedarshift/interface.py
@@ -34,7 +34,6 @@
     levels: str = "fraction"      # what a level holds; "none": levels are disregarded
     gone_binds: bool = True       # an endpoint dropped from the list must be left within the grace
     retry_default: int = 0
-    pilots: int = 1
     seed: int = 0
     report_field: str = ""        # the load report's value to go by, if there is one
     lines_per_second: float = 0.0
@@ -44,7 +43,6 @@
     messages_span: int = 0
     transit_most: int = 0
     report_period: int = 0
-    empty_most: int = 0
     lease: int = 0
     in_flight_most: int = 0
     drain_grace: int = 0
@@ -52,7 +50,6 @@
     warm_within: int = 0
     cold_share: float = 1.0
     tip_multiple: float = 1.0
-    tip_span: int = 0
 
 
 class Decider(Protocol):
--- a/cedarshift/wirehost/__main__.py
+++ b/cedarshift/wirehost/__main__.py
@@ -46,16 +46,15 @@
         op_types=ops, zones=tuple(env.get("zones") or ()), slices=int(fam.get("ranges") or 0),
         single_owner=bool(fam.get("one_owner")), asks_list=env.get("discovery") == "ask",
         levels=fam.get("throttle_by") or "none", gone_binds=not rules.get("soft_removal"),
-        retry_default=int(fam.get("retry_default") or 0), pilots=int(env.get("fleet_size") or 1),
-        seed=int(seed or 0), report_field="outstanding" if in_answers and "outstanding" in fields else "",
+        retry_default=int(fam.get("retry_default") or 0), seed=int(seed or 0), report_field="outstanding" if in_answers and "outstanding" in fields else "",
         lines_per_second=float(fam.get("push_rate") or 0), lines_per_message=float(fam.get("per_message") or 0),
         lines_waiting_most=float(fam.get("pending_max") or 0), messages_most=int(fam.get("messages_most") or 0),
         messages_span=up(fam.get("reload_span_ns")), transit_most=up(fam.get("push_delay_max_ns")),
-        report_period=up(fam.get("report_every_ns")), empty_most=down(fam.get("empty_for_ns")),
+        report_period=up(fam.get("report_every_ns")),
         lease=up(fam.get("lease_ns")), in_flight_most=up(fam.get("in_flight_max_ns")),
         drain_grace=down(rules.get("drain_grace_ns")), ask_within=down(rules.get("ask_within_ns")),
         warm_within=up(rules.get("warm_within_ns")), cold_share=float(rules.get("cold_from") or 1.0),
-        tip_multiple=float(rules.get("fall_multiple") or 1.0), tip_span=up(rules.get("tip_after_ns")))
+        tip_multiple=float(rules.get("fall_multiple") or 1.0))
 
 
 class Host:
