--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -330,7 +330,9 @@
         if warmth < 1.0 and e.changed_at and now > e.changed_at and not self._met(e, now, e.changed_at)[0]:
             return 0.0                       # what it was given last has not shown in its sums yet
         first = 1.0 if e.changed_at > (e.started or 0) else COLD_FIRST
-        return FULL_AT * fair if warmth >= 1.0 else first * min(1.0, COLD_FILL * self.tip) * warmth * fair * self.served
+        if warmth >= 1.0:
+            return FULL_AT * fair
+        return first * min(1.0, COLD_FILL * self.tip) * warmth * fair * self.served
 
     def _choose(self, s: Slice, now: int) -> Optional[str]:
         """The rendezvous choice among live endpoints with room; with no room anywhere, the least burdened warm
@@ -458,8 +460,8 @@
         # Under overload every endpoint is strained, and nothing moves: the cause is not the endpoint.
         idle = [e for e in live if self._may_take(e, now) and (e.name not in lag or not self._strained(met[e.name]))]
         for e in sorted(live, key=lambda e: (-load.get(e.name, mean), e.name)):
-            hot = load.get(e.name, mean) > mean * (1 + MARGIN) and lag.get(e.name, usual) > usual * (1 + MARGIN) and (
-                self._strained(met[e.name]))
+            hot = (load.get(e.name, mean) > mean * (1 + MARGIN) and self._strained(met[e.name])
+                   and lag.get(e.name, usual) > usual * (1 + MARGIN))
             e.hot_checks = e.hot_checks + 1 if hot else 0  # an endpoint with no fresh sums is not hot
             if e.hot_checks < CHECKS_RUNNING:
                 continue
@@ -503,7 +505,8 @@
 
     def _may_take(self, e: Endpoint, now: int) -> bool:
         busy = any(s.target == e.name or (s.state != OWNED and s.owner == e.name) for s in self.slices.values())
-        return not busy and now - e.changed_at >= LATE + self.recent and not self._unfit(e.name, now) and self._warmth(e, now) >= 1.0
+        return (not busy and now - e.changed_at >= LATE + self.recent and not self._unfit(e.name, now)
+                and self._warmth(e, now) >= 1.0)
 
     def _set_level(self, met: list[tuple[int, int, float]]) -> None:
         """One level for all op types. Only the middle endpoint tells of overload: a few full ones beside idle ones
