--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -15,7 +15,7 @@
 # Constants: unit, then the reason for the size.
 BEAT = 250                # 0.1 ms; how often a pilot looks at what is due: small beside any lease or grace
 WEIGH_EVERY = 2_000       # 0.1 ms; rates and warmth change slowly beside this
-CHECK_EVERY = 20_000      # 0.1 ms; pace of the mover: a jam grows within seconds, so faster than the design's 5 s
+CHECK_EVERY = 20_000      # 0.1 ms; the mover's pace: jams grow within seconds, so under the design's 5 s
 MARGIN = 0.2              # share over the mean at which an endpoint counts as hot: the design's figure
 CHECKS_RUNNING = 2        # checks; the design's two, so that one late report moves nothing
 MOVES_A_TURN = 2          # slices; the design's figure, in a small fleet
@@ -23,19 +23,19 @@
 MOVES_A_SOURCE = 2        # slices that one hot endpoint gives up a turn: more would overshoot on late sums
 STRAINED = 0.08           # share of ops aborted past which an endpoint is worth relieving
 HOLD = 200_000            # 0.1 ms; a moved slice stays put until its load has shown and its keys are known
-WORTH_MOVING = 0.4        # share of the tightest target latency; under it a hot endpoint still answers in time
-LATE = 15_000             # 0.1 ms; how late a sum may come: one begun sooner after a move is of the time before it
+WORTH_MOVING = 0.4        # share of the tightest target latency; under it a hot endpoint is in time
+LATE = 15_000             # 0.1 ms; how late a sum may come; one begun sooner after a move tells of before
 RECENT = 3                # report periods over which figures are worked out; fewer is noise, more is late
-RECENT_LEAST = 40_000     # 0.1 ms; where periods are short, fewer seconds than this hold too few ops to judge by
+RECENT_LEAST = 40_000     # 0.1 ms; with short periods, less time than this holds too few ops
 SAMPLES = 48              # samples kept an endpoint or slice: RECENT periods from a handful of zones
 SICK_SHARE = 0.5          # share of ops aborted; a busy but sound endpoint stays well below
 SICK_LEAST = 8            # ops; fewer tell nothing of a share
 SICK_MOST = 0.34          # share of endpoints; when more look bad at once the cause is not the endpoint
 SICK_SLOW = 0.7           # share of the tightest target latency; slower acks beside the aborts tell overload
 SICK_HOLD = 150_000       # 0.1 ms; no slices for a sick endpoint, doubled for each time it was sick again
-COLD_FILL = 0.4           # share of the tipping load that is offered: ops cost about double where no key is known
+COLD_FILL = 0.4           # share of the tipping load offered: ops cost double where no key is known
 COLD_FIRST = 0.5          # share of that budget given first: how fast the machine is shows only in its sums
-SERVED_WELL = 0.5         # acked share of ops come, repeats too, under which endpoints as a whole cannot follow
+SERVED_WELL = 0.5         # acked share of all that comes under which the fleet cannot follow
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
 FULL_AT = 1.0             # multiple of the fair share past which an orphan goes to its next choice
@@ -44,7 +44,7 @@
 LEVEL_SHARE = 0.85        # what is left of the level after a check under overload
 LEVEL_LEAST = 0.4         # the level never goes below: deeper cuts reject what would be acked
 OVERLOAD = 0.2            # share of ops aborted at the middle endpoint; ordinary days stay well below
-ASK_AGAIN = 10_000        # 0.1 ms; first wait after a failed list call, then doubled up to a quarter of the bound
+ASK_AGAIN = 10_000        # 0.1 ms; first wait after a failed list call, doubled up to a quarter of the bound
 RENEW = 8                 # longest waits after which a subscription that seems sound is asked for again
 ALL_TABLES = 65535        # the table number that stands for all
 MARKS = 65536             # marks are numbered in a ring of this size
@@ -80,7 +80,7 @@
         self.zone, self.joined, self.left_at = zone, True, 0
         self.acked: Optional[int] = None     # newest mark acked since it joined
         self.acked_at = 0                    # when that mark took effect there
-        self.reached: Optional[int] = None   # newest mark, or without slices the table, ordered since it joined
+        self.reached: Optional[int] = None   # newest mark (or table) ordered since it joined
 
 
 class Slice:
@@ -129,9 +129,9 @@
         self.tip = terms.tip_multiple
         self.head = terms.lines_per_message + 1   # every message carries a mark
         self.room = ROOM * terms.lines_waiting_most or math.inf
-        # Turns an even gap apart keep the cap by themselves, and nothing urgent ever waits longer than the gap.
+        # Turns an even gap apart keep the cap by themselves, and nothing urgent waits longer than that.
         self.even = terms.messages_span // max(1, terms.messages_most - 1) + 1 if terms.messages_most else 0
-        # A drained endpoint's lines are emptied so long before the grace ends: the way, the queue and one wait.
+        # A drained endpoint's lines are emptied so long before the grace ends: way, queue and one wait.
         self.early = terms.transit_most + self.even + terms.drain_grace // 6
         self.grace = terms.drain_grace
         self.ask_most = max(ASK_AGAIN, terms.ask_within // 4)
@@ -192,7 +192,7 @@
         if given:
             s = self.slices[slice_id] = Slice(slice_id, now)
             s.samples = old.samples if old else s.samples
-            # No line held: a hand-over was cut off somewhere, so the lease and the settle time are waited out.
+            # No line held: a hand-over was cut off, so the lease and the settle time are waited out.
             s.state = REVOKING if self.single else EMPTY
             self.level_sent = 1.0            # levels are reset at a giving
 
@@ -294,10 +294,10 @@
         return tries, aborted, sum(a * t for a, t in acked) / n if n else 0.0
 
     def _look_for_sick(self, now: int) -> None:
-        """An endpoint that aborts most of what it is sent, while its peers do not, is sick: it aborts fast, takes
-        ops and answers none, or cannot be reached; so is one that reads as nought while it fails. A slow answer
+        """An endpoint that aborts most of what it is sent, while its peers do not, is sick: it aborts
+        fast, takes ops and answers none, cannot be reached, or reads as nought while it fails. A slow ack
         beside the aborts tells overload instead: the cure there is less load, and taking all its slices away
-        would only pass the load on. Harm: a sound endpoint whose few ops all fail for the clients' own reasons.
+        would only pass the load on. Harm: a sound endpoint whose few ops fail for the clients' own reasons.
         The held ones count as well, so that no chain of judgements empties the fleet."""
         live = self._live(now)
         met = {e.name: self._last_met(e, now) for e in live if now >= e.sick_until}
@@ -320,11 +320,12 @@
     def _overdue(self, s: Slice, now: int) -> bool:
         """The old owner's line must go now for the grace to be kept."""
         e = self.endpoints.get(s.owner or "")
-        return e is not None and e.phase != "on" and now >= max(e.told_at, s.given_at) + self.grace - self.early
+        due = self.grace - self.early
+        return e is not None and e.phase != "on" and now >= max(e.told_at, s.given_at) + due
 
     def _room_at(self, e: Endpoint, now: int) -> float:
-        """What an endpoint may bear in all. A cold one is a budget of the tipping multiple; every pilot applies
-        it to its own slices' rates, so together they keep it."""
+        """What an endpoint may bear in all. A cold one is a budget of the tipping multiple; every pilot
+        applies it to its own slices' rates, so together they keep it."""
         warmth = self._warmth(e, now)
         fair = self.unit * (e.size if warmth >= 1.0 else min(e.size, self.mean_size))
         if warmth < 1.0 and e.changed_at and now > e.changed_at and not self._met(e, now, e.changed_at)[0]:
@@ -335,8 +336,8 @@
         return first * min(1.0, COLD_FILL * self.tip) * warmth * fair * self.served
 
     def _choose(self, s: Slice, now: int) -> Optional[str]:
-        """The rendezvous choice among live endpoints with room; with no room anywhere, the least burdened warm
-        one, then a cold or sick one: a slice must not stay without an owner."""
+        """The rendezvous choice among live endpoints with room; with no room anywhere, the least burdened
+        warm one, then a cold or sick one: a slice must not stay without an owner."""
         live = self._live(now)
         fit = [e for e in live if not self._unfit(e.name, now)]
         order = sorted(fit, key=lambda e: (-rendezvous(e.name, s.number, e.size), e.name))
@@ -345,13 +346,13 @@
                     not self._strained(self._met(e, now))):
                 return e.name
         warm = [e for e in fit if self._warmth(e, now) >= 1.0] or fit or live
-        least = min(warm, key=lambda e: (self.burden.get(e.name, 0.0) / (e.size * self._warmth(e, now)), e.name),
-                    default=None)
+        full = {e.name: self.burden.get(e.name, 0.0) / (e.size * self._warmth(e, now)) for e in warm}
+        least = min(warm, key=lambda e: (full[e.name], e.name), default=None)
         return least.name if least else None
 
     def _stopped(self, s: Slice, now: int) -> Optional[int]:
-        """When the last proxy stopped: it has acked the revoke, or its stream broke a lease ago; None while one may
-        go on. One that was never joined since the slice came here can hold it no longer than a lease."""
+        """When the last proxy stopped: it has acked the revoke, or its stream broke a lease ago; None while
+        one may go on. One never joined since the slice came here can hold it no longer than a lease."""
         ends = [s.since, s.given_at + self.lease]
         for p in self.proxies.values():
             if not p.joined:
@@ -365,10 +366,11 @@
     # ---- the slice's state machine: each step gives its lines
 
     def _revoke(self, s: Slice, now: int, target: Optional[str]) -> list[tuple]:
-        """Closes the slice to writes. The owner's line stays for the other op types while the owner is sound: a
-        pilot killed now leaves the old line, and levels are reset at a giving, which is the abort."""
+        """Closes the slice to writes. The owner's line stays for the other op types while the owner is
+        sound: a pilot killed now leaves the old line, and levels are reset at a giving: the abort."""
         s.state, s.since, s.target, s.mark = REVOKING, now, target, self.mark
-        if self.can_close and self.endpoints[s.owner].phase != "off" and now >= self.endpoints[s.owner].sick_until:
+        old = self.endpoints[s.owner]
+        if self.can_close and old.phase != "off" and now >= old.sick_until:
             s.closed = True
             return [("level", s.number, self.writes, 0, self.retries)]
         return self._clear(s)
@@ -455,10 +457,10 @@
         even = sum(self.rate.values()) / len(live)
         most = max(MOVES_A_TURN, len(live) // MOVES_PART)
         due: list[tuple[int, int, str, Optional[str]]] = []
-        # A report is believed where the latency does not gainsay it: a count is larger on a larger machine, and a
-        # false nought would draw the hot slices.
+        # A report is believed where the latency does not gainsay it: a count is larger on a larger machine,
+        # and a false nought would draw the hot slices.
         # Under overload every endpoint is strained, and nothing moves: the cause is not the endpoint.
-        idle = [e for e in live if self._may_take(e, now) and (e.name not in lag or not self._strained(met[e.name]))]
+        idle = [e for e in live if self._may_take(e, now) and not self._strained(met[e.name])]
         for e in sorted(live, key=lambda e: (-load.get(e.name, mean), e.name)):
             hot = (load.get(e.name, mean) > mean * (1 + MARGIN) and self._strained(met[e.name])
                    and lag.get(e.name, usual) > usual * (1 + MARGIN))
@@ -470,8 +472,8 @@
                    and now - s.moved_at >= HOLD and now - s.given_at >= self.lease]
             own.sort(key=lambda s: (-self.rate[s.number], s.number))
             for s in own:
-                # What a slice brings is its ops at the fleet's usual cost: a jammed source's own figures say more
-                # of its queue than of the slice, and would find every slice too large to move.
+                # What a slice brings is its ops at the fleet's usual cost: a jammed source's own figures
+                # say more of its queue than of the slice, and would find every slice too large to move.
                 part = mean * self.rate[s.number] / even
                 if len(due) >= most or moved >= MOVES_A_SOURCE or not idle:
                     break
@@ -486,15 +488,15 @@
         """The endpoint's own report if it sends one, else its latency; None while nothing was heard."""
         tries, aborted, took = self._met(e, now, e.changed_at + LATE)
         if not tries:
-            return None                      # sums of the time before a move tell nothing of the state after it
+            return None                      # sums from before a move tell nothing of the state after it
         said = [s[5] for s in e.samples if s[5] is not None and s[0] >= now - self.recent]
         if said and (any(said) or not took):
             return sum(said) / len(said)
         return self._lag((tries, aborted, took))
 
     def _lag(self, met: tuple[int, int, float]) -> float:
-        """Mean time of an op at an endpoint; an aborted one counts as an op timeout waited, so that an endpoint
-        that fails its ops never reads as quick."""
+        """Mean time of an op at an endpoint; an aborted one counts as an op timeout waited, so that an
+        endpoint that fails its ops never reads as quick."""
         tries, aborted, took = met
         return ((tries - aborted) * took + aborted * self.timeout) / tries
 
@@ -504,13 +506,13 @@
         return tries > 0 and aborted > STRAINED * tries or took > WORTH_MOVING * self.tight
 
     def _may_take(self, e: Endpoint, now: int) -> bool:
-        busy = any(s.target == e.name or (s.state != OWNED and s.owner == e.name) for s in self.slices.values())
+        busy = any(e.name in (s.target, s.owner if s.state != OWNED else None) for s in self.slices.values())
         return (not busy and now - e.changed_at >= LATE + self.recent and not self._unfit(e.name, now)
                 and self._warmth(e, now) >= 1.0)
 
     def _set_level(self, met: list[tuple[int, int, float]]) -> None:
-        """One level for all op types. Only the middle endpoint tells of overload: a few full ones beside idle ones
-        are imbalance, which the mover answers, and rejecting ops everywhere would not."""
+        """One level for all op types. Only the middle endpoint tells of overload: a few full ones beside idle
+        ones are imbalance, which the mover answers, and rejecting ops everywhere would not."""
         share = sorted(aborted / tries for tries, aborted, _ in met if tries)
         if share and share[len(share) // 2] > OVERLOAD:
             self.level = max(LEVEL_LEAST, self.level * LEVEL_SHARE)
@@ -576,7 +578,7 @@
         return self._grant(s, now, owner)
 
     def _lay_tables(self, now: int) -> None:
-        """Sites without slices: one table for all, or one a zone where some op types must stay in their zone."""
+        """Sites without slices: one table for all, or one a zone where an op type must stay in its zone."""
         zones = self.zones if self.local_ops else [""]
         warm = [e for e in self._live(now) if self._warmth(e, now) >= 1.0] or self._live(now)
         for t, zone in enumerate(zones):
--- a/cedarshift/interface.py
+++ b/cedarshift/interface.py
@@ -36,7 +36,6 @@
     retry_default: int = 0
     seed: int = 0
     report_field: str = ""        # the load report's value to go by, if there is one
-    lines_per_second: float = 0.0
     lines_per_message: float = 0.0
     lines_waiting_most: float = 0.0
     messages_most: int = 0
--- a/cedarshift/wirehost/__main__.py
+++ b/cedarshift/wirehost/__main__.py
@@ -1,4 +1,4 @@
-"""Hosts pilots on the simulator's wire: standard input to calls on the module, its answers to standard output."""
+"""Hosts pilots on the simulator's wire: standard input to calls, answers to standard output."""
 from __future__ import annotations
 
 import sys
@@ -48,8 +48,9 @@
         levels=fam.get("throttle_by") or "none", gone_binds=not rules.get("soft_removal"),
         retry_default=int(fam.get("retry_default") or 0), seed=int(seed or 0),
         report_field="outstanding" if in_answers and "outstanding" in fields else "",
-        lines_per_second=float(fam.get("push_rate") or 0), lines_per_message=float(fam.get("per_message") or 0),
-        lines_waiting_most=float(fam.get("pending_max") or 0), messages_most=int(fam.get("messages_most") or 0),
+        lines_per_message=float(fam.get("per_message") or 0),
+        lines_waiting_most=float(fam.get("pending_max") or 0),
+        messages_most=int(fam.get("messages_most") or 0),
         messages_span=up(fam.get("reload_span_ns")), transit_most=up(fam.get("push_delay_max_ns")),
         report_period=up(fam.get("report_every_ns")),
         lease=up(fam.get("lease_ns")), in_flight_most=up(fam.get("in_flight_max_ns")),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,13 +4,13 @@
 
 TERMS = dict(
     op_types=(OpType("get", 20_000, 60_000, False, False), OpType("put", 20_000, 30_000, True, False)),
-    slices=8, single_owner=True, report_period=10_000, lease=25_000, in_flight_most=30_000, drain_grace=40_000,
-    lines_per_message=10.0, lines_waiting_most=4000.0, transit_most=5_000, cold_share=0.2,
+    slices=8, single_owner=True, report_period=10_000, lease=25_000, in_flight_most=30_000,
+    drain_grace=40_000, lines_per_message=10.0, lines_waiting_most=4000.0, transit_most=5_000, cold_share=0.2,
     warm_within=150_000, tip_multiple=3.0, ask_within=100_000)
 
 
 def pilot(endpoints="abcd", owners="abcdabcd", proxies=2, now=0, **terms):
-    """A pilot with warm endpoints, one slice for each letter of `owners` ('-' has no line) and joined proxies."""
+    """A pilot with warm endpoints, a slice for each letter of `owners` ('-': no line) and joined proxies."""
     p = Pilot(Terms(**{**TERMS, **terms}))
     p.on_list(now, "restored", [entry(n) for n in endpoints])
     for i in range(proxies):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -137,7 +137,7 @@
     p.turns.append((p.mark, 0, 40.0))
     p.on_list(100_000, "update", [entry("a", "off")])
     assert decisions(p, 100_000) == []
-    p.on_ack(100_100, 0, (p.mark + 1) % MARKS, 10)   # a later mark acked: the earlier turn has left the channel
+    p.on_ack(100_100, 0, (p.mark + 1) % MARKS, 10)   # a later mark acked: the earlier has left
     assert decisions(p, 100_200) != []
 
 
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -6,7 +6,7 @@
 from cedarshift.wirehost import __main__ as wire
 
 TICK, FLUSH = '{"cmd":"tick","ts_ns":1000000}', '{"cmd":"flush"}'
-SPAWN = '{"cmd":"spawn","pilot":"pilot/0","prng":1,"env":{"new_key":1,"rules":null,"family_info":{"ranges":1}}}'
+SPAWN = '{"cmd":"spawn","pilot":"pilot/0","prng":1,"env":{"new":1,"rules":null,"family_info":{"ranges":1}}}'
 
 
 def run(*lines):
