--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -236,3 +236,32 @@
     p.on_met(100_000, "a", 20, 20, 0, 10_000, None)
     p._look_for_sick(100_000)
     assert p.endpoints["a"].sick_until == 0
+
+
+@pytest.mark.parametrize("until, held", [
+    (100_000, "a"),    # revoke ordered, some proxies reached or none: the old line stands, its levels are reset
+    (120_000, "a"),    # settling
+    (139_000, "-"),    # the drained owner's line emptied before the grace ends
+    (150_000, None),   # granted
+])
+def test_a_pilot_killed_at_any_step_leaves_a_store_that_the_next_one_can_take_up(until, held):
+    p, line = revoking(in_flight_most=45_000), "a"
+    for now in (100_000, 101_000, 120_000, 138_000, 139_000, 150_000):
+        if now <= until:
+            for proxy in (0, 1):
+                p.on_ack(now, proxy, p.mark, 10)
+            for d in decisions(p, now):
+                if d[0] == "line" and d[1] == 0:
+                    line = d[2] if d[3] else "-"
+    assert line == held or (held is None and line in "bcd")
+    heir = pilot(owners=line, now=until)
+    heir.on_list(until, "update", [entry("a", "fading")])
+    early = [d for t in (0, 10_000, 24_000, 25_000, 40_000) for d in decisions(heir, until + t)]
+    assert not any(d[0] == "line" and d[3] for d in early)
+
+
+def test_without_slices_joined_proxies_get_a_table_of_the_endpoints_that_stand():
+    p = pilot(owners="", slices=0, single_owner=False)
+    assert [d for d in decisions(p, 0) if d[0] == "install"] == [("install", 0, 0, 0), ("install", 1, 0, 0)]
+    p.on_list(10, "update", [entry("a", "fading")])
+    assert decisions(p, 10) == [("line", 0, "a", 0)]
