Dropped endpoints keep their slices while their sums are acked, where gone does not bind

Also holds against old, empty or partial lists; harms by one more sum's wait where a dropped endpoint is dead. An endpoint that drained stays bound after it leaves the list.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -163,19 +163,17 @@
             self.ask_wait, self.ask_at = ASK_AGAIN, now + RENEW * self.ask_most
         for e in entries:
             known = self.endpoints.setdefault(e.endpoint, Endpoint(e.endpoint))
-            if e.phase != "on" and known.phase == "on":
-                known.told_at = now
+            self._set_phase(known, e.phase, now)
             if e.started and e.started != known.started:
                 known.samples.clear()        # a new process: what the old one did tells nothing
                 known.sick_until = 0
-            known.phase, known.size, known.zone = e.phase, e.size, e.zone
+            known.size, known.zone = e.size, e.zone
             known.started = e.started if e.started is not None else known.started
         if kind in ("replace", "restored"):
             named = {e.endpoint for e in entries}
             for known in self.endpoints.values():
-                if known.name not in named and known.phase != "off":
-                    known.told_at = known.told_at if known.phase == "fading" else now
-                    known.phase = "off"
+                if known.name not in named:
+                    self._set_phase(known, "off", now)
 
     def on_join(self, now: int, proxy: int, zone: str) -> None:
         self.fresh = True
@@ -229,12 +227,28 @@
 
     # ---- figures worked out from what is known
 
-    @staticmethod
-    def _unlisted(name: str, now: int) -> Endpoint:
+    def _unlisted(self, name: str, now: int) -> Endpoint:
         e = Endpoint(name)
-        e.phase, e.told_at = "off", now      # in a store's line but in no list: as good as gone
+        self._set_phase(e, "off", now)       # in a store's line but in no list: as good as gone
         return e
 
+    def _set_phase(self, e: Endpoint, phase: str, now: int) -> None:
+        """A list may call running endpoints gone. Where that does not bind, one that never was seen to drain
+        is only "dropped": its sums decide. One that drained stays bound when it leaves the list."""
+        if phase == "off" and e.phase != "fading" and not self.gone_binds:
+            phase = "off" if e.phase == "off" else "dropped"
+        if phase != "on" and e.phase == "on":
+            e.told_at = now
+        e.phase = phase
+
+    def _stands(self, e: Endpoint, now: int) -> bool:
+        """Listed, or dropped from the list while its newest sums are acked (or have not had time to come).
+        Guards against a wrong or stale list; a dead endpoint is left some sums later than its dropping."""
+        if e.phase != "dropped":
+            return e.phase == "on"
+        tries, aborted, _ = self._last_met(e, now)
+        return aborted <= SICK_SHARE * tries if tries else now - e.told_at < self.recent
+
     @staticmethod
     def _older(a: int, b: int) -> bool:
         return a != b and (b - a) % MARKS < MARKS // 2
@@ -246,7 +260,7 @@
         return self.cold_share + (1 - self.cold_share) * max(0, now - e.started) / self.warm_within
 
     def _live(self, now: int) -> list[Endpoint]:
-        return [e for _, e in sorted(self.endpoints.items()) if e.phase == "on"]
+        return [e for _, e in sorted(self.endpoints.items()) if self._stands(e, now)]
 
     def _rate(self, s: Slice, now: int) -> float:
         """Ops of a slice in a tenth of a millisecond; the mean of all slices where nothing was heard."""
@@ -311,17 +325,17 @@
 
     def _unfit(self, name: Optional[str], now: int) -> bool:
         e = self.endpoints.get(name or "")
-        return e is None or e.phase != "on" or now < e.sick_until
+        return e is None or now < e.sick_until or not self._stands(e, now)
 
     def _must_leave(self, name: Optional[str]) -> bool:
         e = self.endpoints.get(name or "")
-        return e is None or e.phase == "fading" or (e.phase == "off" and self.gone_binds)
+        return e is None or e.phase in ("fading", "off")
 
     def _overdue(self, s: Slice, now: int) -> bool:
         """The old owner's line must go now for the grace to be kept."""
         e = self.endpoints.get(s.owner or "")
         due = self.grace - self.early
-        return e is not None and e.phase != "on" and now >= max(e.told_at, s.given_at) + due
+        return e is not None and self._must_leave(e.name) and now >= max(e.told_at, s.given_at) + due
 
     def _room_at(self, e: Endpoint, now: int) -> float:
         """What an endpoint may bear in all. A cold one is a budget of the tipping multiple; every pilot
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -265,3 +265,21 @@
     assert [d for d in decisions(p, 0) if d[0] == "install"] == [("install", 0, 0, 0), ("install", 1, 0, 0)]
     p.on_list(10, "update", [entry("a", "fading")])
     assert decisions(p, 10) == [("line", 0, "a", 0)]
+
+
+@pytest.mark.parametrize("binds, faded, tries, aborted, after, unfit", [
+    (False, False, 20, 2, 0, False),        # a wrong list: it still acks
+    (False, False, 20, 15, 0, True),        # dead indeed
+    (False, False, 0, 0, 30_000, False),    # its sums have not had time to come
+    (False, False, 0, 0, 50_000, True),     # nothing heard any more
+    (False, True, 20, 0, 0, True),          # it drained first: that binds
+    (True, False, 20, 0, 0, True),          # gone binds here
+])
+def test_a_dropped_endpoint_keeps_its_slices_while_it_acks(binds, faded, tries, aborted, after, unfit):
+    p = pilot(gone_binds=binds)
+    if faded:
+        p.on_list(99_000, "update", [entry("a", "fading")])
+    p.on_list(100_000, "replace", [entry(n) for n in "bcd"])
+    if tries:
+        heard(p, 100_000 + after, "a", tries, aborted, 3_000)
+    assert p._unfit("a", 100_000 + after) is unfit
