Overdue drains first, cold endpoints by lot to one pilot, figures worked out at a pace

Now urgency orders a turn (what a rule asks for, grants, revokes, moves), each with its share of the channel; the queue ahead counts in the time a drain needs; an overdue revoke empties the line; a turn leaves the count as its acks come; one pilot by lot has a cold endpoint's whole budget.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -8,6 +8,8 @@
 
 import math
 from collections import deque
+from hashlib import blake2b
+from itertools import takewhile
 from typing import Optional
 
 from cedarshift.interface import Entry, Terms
@@ -39,7 +41,7 @@
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
 FULL_AT = 1.0             # multiple of the fair share past which an orphan goes to its next choice
-ROOM = 0.8                # share of the channel's waiting lines used; the rest covers what cannot be foreseen
+ROOM = (0.8, 0.6, 0.5, 0.5)  # shares of the channel's waiting lines used, by urgency: a drain finds room left
 LEVEL_STEP = 0.05         # added to the level a check; full again within some ten checks
 LEVEL_SHARE = 0.85        # what is left of the level after a check under overload
 LEVEL_LEAST = 0.4         # the level never goes below: deeper cuts reject what would be acked
@@ -97,11 +99,8 @@
 
 
 def rendezvous(endpoint: str, number: int, weight: float) -> float:
-    """Weighted rendezvous score; an FNV-1a hash, since Python's own differs from run to run."""
-    h = 0xcbf29ce484222325
-    for byte in f"{endpoint}/{number}".encode():
-        h = ((h ^ byte) * 0x100000001b3) & (2 ** 64 - 1)
-    h = ((h ^ (h >> 33)) * 0xff51afd7ed558ccd) & (2 ** 64 - 1)
+    """Weighted rendezvous score; a keyed digest, since Python's own hash differs from run to run."""
+    h = int.from_bytes(blake2b(f"{endpoint}/{number}".encode(), digest_size=8).digest(), "big")
     return -weight / math.log(((h >> 11) + 1) / (2 ** 53 + 2))
 
 
@@ -113,7 +112,7 @@
         self.gone_binds, self.asks = terms.gone_binds, terms.asks_list
         self.zones = list(terms.zones)
         ops = terms.op_types
-        self.all_ops = (1 << len(ops)) - 1
+        self.kinds = max(1, len(ops))
         self.writes = sum(1 << i for i, op in enumerate(ops) if op.writes)
         self.local_ops = sum(1 << i for i, op in enumerate(ops) if op.own_zone)
         self.tight = min((op.target_latency for op in ops), default=0)
@@ -125,30 +124,35 @@
         self.settle = terms.in_flight_most if self.single else 0
         self.recent = max(RECENT * terms.report_period + terms.report_period, RECENT_LEAST)
         self.check_every = max(CHECK_EVERY, terms.report_period)
+        self.pilots, self.place, self.slices_in_all = max(1, terms.pilots), terms.place, terms.slices
         self.cold_share, self.warm_within = terms.cold_share, terms.warm_within
         self.tip = terms.tip_multiple
         self.head = terms.lines_per_message + 1   # every message carries a mark
-        self.room = ROOM * terms.lines_waiting_most or math.inf
+        self.room = terms.lines_waiting_most or math.inf
+        self.per_line = 10_000 / terms.lines_per_s if terms.lines_per_s else 0.0   # 0.1 ms
         # Turns an even gap apart keep the cap by themselves, and nothing urgent waits longer than that.
         self.even = terms.messages_span // max(1, terms.messages_most - 1) + 1 if terms.messages_most else 0
-        # A drained endpoint's lines are emptied so long before the grace ends: way, queue and one wait.
+        # A drained endpoint's lines are emptied so long before the grace ends, and the channel's queue besides.
         self.early = terms.transit_most + self.even + terms.drain_grace // 6
         self.grace = terms.drain_grace
+        self.queue = 0.0                     # 0.1 ms; what a turn ordered now waits in the channel
         self.ask_most = max(ASK_AGAIN, terms.ask_within // 4)
         self.endpoints: dict[str, Endpoint] = {}
         self.proxies: dict[int, Proxy] = {}
         self.slices: dict[int, Slice] = {}
         self.mark = self.chance.draw(MARKS)
-        self.turns: deque = deque()          # (mark, ordered at, lines) of turns not yet known to have left
+        self.turns: deque = deque()          # [mark, ordered at, lines, lines a proxy] not yet known to have left
         self.sent_at: Optional[int] = None   # when the last turn went out
+        self.channel_free = 0.0              # when all that was ordered has left, at the stated pace
         self.beat_nonce, self.beat_due = 0, None
         self.ask_at, self.ask_wait = 0, ASK_AGAIN
         self.check_at: Optional[int] = None
         self.level, self.level_sent = 1.0, 1.0
         self.laid: dict[tuple[int, str], bool] = {}
-        self.news, self.weighed_at = True, 0  # the figures below are worked out anew when something changed
+        self.news, self.weighed_at = True, 0  # the list, the charge or the orders changed since the weigh-up
+        self.mean_rate = 1e-3                # ops of a slice in 0.1 ms, until sums come
         self.out: deque = deque()
-        self.fresh = False                   # something came in since the last decisions
+        self.fresh = False                   # a beat or a list came since the last decisions
 
     # ---- inputs: only what is known changes here
 
@@ -176,16 +180,14 @@
                     self._set_phase(known, "off", now)
 
     def on_join(self, now: int, proxy: int, zone: str) -> None:
-        self.fresh = True
         self.proxies[proxy] = Proxy(zone)
 
     def on_leave(self, now: int, proxy: int) -> None:
-        self.fresh = True
         if proxy in self.proxies:
             self.proxies[proxy].joined, self.proxies[proxy].left_at = False, now
 
     def on_given(self, now: int, slice_id: int, given: bool) -> None:
-        self.fresh = self.news = True
+        self.news = True
         old = self.slices.pop(slice_id, None)
         if given:
             s = self.slices[slice_id] = Slice(slice_id, now)
@@ -201,20 +203,20 @@
             self.endpoints.setdefault(endpoint, self._unlisted(endpoint, now))
 
     def on_ack(self, now: int, proxy: int, mark: int, took: int) -> None:
-        self.fresh = True
         p = self.proxies.get(proxy)
         if p and p.joined and (p.acked is None or not self._older(mark, p.acked)):
             p.acked = mark
-            at = next((at for m, at, _ in self.turns if m == mark), None)
+            turn = next((t for t in self.turns if t[0] == mark), None)
             # The order's own age says when it took effect, which is sooner than the ack was heard.
-            p.acked_at = now if at is None else min(now, at + took)
+            p.acked_at = min(now, turn[1] + took) if turn else now
+            if turn:
+                turn[2] -= turn[3]           # its message has left the channel
         while self.turns and self._older(self.turns[0][0], mark):
             self.turns.popleft()             # the channel keeps order: earlier turns have left it
 
     def on_met(self, now: int, endpoint: str, tries: int, aborted: int, took: int, span: int,
                report: Optional[float]) -> None:
         if endpoint in self.endpoints and tries > 0:
-            self.news = True
             self.endpoints[endpoint].samples.append((now, tries, aborted, took, span, report))
 
     def on_heat(self, now: int, slice_id: int, ops: int, unanswered: int, span: int) -> None:
@@ -259,37 +261,48 @@
             return 1.0
         return self.cold_share + (1 - self.cold_share) * max(0, now - e.started) / self.warm_within
 
-    def _live(self, now: int) -> list[Endpoint]:
-        return [e for _, e in sorted(self.endpoints.items()) if self._stands(e, now)]
+    @staticmethod
+    def _since(samples: deque, at: int) -> list[tuple]:
+        """The samples heard from a time on, newest first."""
+        return list(takewhile(lambda s: s[0] >= at, reversed(samples)))
 
-    def _rate(self, s: Slice, now: int) -> float:
-        """Ops of a slice in a tenth of a millisecond; the mean of all slices where nothing was heard."""
-        got = [(n, span) for at, n, span in s.samples if now - at <= self.recent]
-        span = max(sum(span for _, span in got) / max(1, self.kinds), 1)
-        return sum(n for n, _ in got) / span if got else self.mean_rate
+    def _rate(self, s: Slice, now: int) -> Optional[float]:
+        """Ops of a slice in a tenth of a millisecond; None where nothing was heard."""
+        got = self._since(s.samples, now - self.recent)
+        span = sum(g[2] for g in got) / self.kinds
+        return sum(g[1] for g in got) / max(1, span) if got else None
 
     def _weigh_up(self, now: int) -> None:
-        """Works out each slice's rate and what each endpoint has of them, for one round of decisions."""
-        self.kinds, self.mean_rate = max(1, self.all_ops.bit_count()), 0.0
-        heard = [s for s in self.slices.values() if s.samples]
-        self.mean_rate = sum(self._rate(s, now) for s in heard) / len(heard) if heard else 1e-3
-        self.rate = {n: self._rate(s, now) + self.mean_rate * 0.1 for n, s in sorted(self.slices.items())}
-        self.burden: dict[str, float] = {}
+        """Works out, at a pace of its own, the figures of the whole fleet that the decisions use."""
+        self.news, self.weighed_at = False, now
+        self.live = [e for _, e in sorted(self.endpoints.items()) if self._stands(e, now)]
+        self.standing = {e.name for e in self.live}
+        self.met = {e.name: self._met(e, now) for e in self.live}
+        self._look_for_sick(now)
+        heard = {n: self._rate(s, now) for n, s in sorted(self.slices.items())}
+        known = [rate for rate in heard.values() if rate is not None]
+        self.mean_rate = sum(known) / len(known) if known else self.mean_rate
+        self.rate = {n: (self.mean_rate if rate is None else rate) + self.mean_rate * 0.1
+                     for n, rate in heard.items()}
+        self.burden, self.held = {}, {}
         for n, s in sorted(self.slices.items()):
-            bearer = s.target or s.owner
-            if bearer:
+            if bearer := s.target or s.owner:
                 self.burden[bearer] = self.burden.get(bearer, 0.0) + self.rate[n]
-        live = self._live(now)
-        self.mean_size = sum(e.size for e in live) / max(1, len(live))
+            if s.state == OWNED:
+                self.held.setdefault(s.owner, []).append(s)
+        self.leaving = sum(s.line and self._must_leave(s.owner) for s in self.slices.values())
+        sizes = sum(e.size for e in self.live)
+        self.mean_size = sizes / max(1, len(self.live))
+        self.unit = sum(self.rate.values()) / max(1e-9, sizes)   # fair burden for size 1
+        self.whole = max(1.0, self.slices_in_all / max(1, len(self.slices)))  # all pilots' slices, in its own
         # Under overload each op comes several times over, and only what is acked tells what endpoints can do.
-        acked = sum(m[0] - m[1] for m in (self._met(e, now) for e in live))
-        came = sum(n for s in self.slices.values() for at, n, _ in s.samples if now - at <= self.recent)
+        acked = sum(tries - aborted for tries, aborted, _ in self.met.values())
+        came = sum(g[1] for s in self.slices.values() for g in self._since(s.samples, now - self.recent))
         self.served = max(SERVED_LEAST, min(1.0, acked / came / SERVED_WELL)) if came else 1.0
-        self.unit = sum(self.rate.values()) / max(1e-9, sum(e.size for e in live))  # fair burden for size 1
 
     def _met(self, e: Endpoint, now: int, after: int = 0) -> tuple[int, int, float]:
         """Tries, aborted ops and mean time of the acked ones over the last periods."""
-        return self._sum([s for s in e.samples if now - s[0] <= self.recent and s[0] - s[4] >= after])
+        return self._sum([s for s in self._since(e.samples, now - self.recent) if s[0] - s[4] >= after])
 
     def _last_met(self, e: Endpoint, now: int) -> tuple[int, int, float]:
         """The same over the newest sums alone, as many as hold enough ops: a change shows there first."""
@@ -303,9 +316,8 @@
     @staticmethod
     def _sum(got: list[tuple]) -> tuple[int, int, float]:
         tries, aborted = sum(s[1] for s in got), sum(s[2] for s in got)
-        acked = [(s[1] - s[2], s[3]) for s in got if s[3] > 0 and s[1] > s[2]]
-        n = sum(a for a, _ in acked)
-        return tries, aborted, sum(a * t for a, t in acked) / n if n else 0.0
+        timed = sum(s[1] - s[2] for s in got if s[3] > 0)
+        return tries, aborted, sum((s[1] - s[2]) * s[3] for s in got) / timed if timed else 0.0
 
     def _look_for_sick(self, now: int) -> None:
         """An endpoint that aborts most of what it is sent, while its peers do not, is sick: it aborts
@@ -313,19 +325,17 @@
         beside the aborts tells overload instead: the cure there is less load, and taking all its slices away
         would only pass the load on. Harm: a sound endpoint whose few ops fail for the clients' own reasons.
         The held ones count as well, so that no chain of judgements empties the fleet."""
-        live = self._live(now)
-        met = {e.name: self._last_met(e, now) for e in live if now >= e.sick_until}
-        bad = [e for e in live if e.name in met and (m := met[e.name])[0] >= SICK_LEAST
-               and m[1] > SICK_SHARE * m[0] and max(m[2], self._met(e, now)[2]) < SICK_SLOW * self.tight]
-        if len(bad) + len(live) - len(met) <= SICK_MOST * len(live):
+        met = {e.name: self._last_met(e, now) for e in self.live if now >= e.sick_until}
+        bad = [e for e in self.live if e.name in met and (m := met[e.name])[0] >= SICK_LEAST
+               and m[1] > SICK_SHARE * m[0] and max(m[2], self.met[e.name][2]) < SICK_SLOW * self.tight]
+        if len(bad) + len(self.live) - len(met) <= SICK_MOST * len(self.live):
             for e in bad:
                 e.sick_until = now + (SICK_HOLD << min(e.strikes, 3))
                 e.strikes += 1
                 e.samples.clear()
 
     def _unfit(self, name: Optional[str], now: int) -> bool:
-        e = self.endpoints.get(name or "")
-        return e is None or now < e.sick_until or not self._stands(e, now)
+        return name not in self.standing or now < self.endpoints[name].sick_until
 
     def _must_leave(self, name: Optional[str]) -> bool:
         e = self.endpoints.get(name or "")
@@ -334,35 +344,37 @@
     def _overdue(self, s: Slice, now: int) -> bool:
         """The old owner's line must go now for the grace to be kept."""
         e = self.endpoints.get(s.owner or "")
-        due = self.grace - self.early
+        due = self.grace - self.early - self.queue
         return e is not None and self._must_leave(e.name) and now >= max(e.told_at, s.given_at) + due
 
     def _room_at(self, e: Endpoint, now: int) -> float:
-        """What an endpoint may bear in all. A cold one is a budget of the tipping multiple; every pilot
-        applies it to its own slices' rates, so together they keep it."""
+        """What an endpoint may bear of this pilot's slices. A cold one is a budget of the tipping multiple
+        that one pilot has whole, by lot: split among all of them it would not hold a single slice of any."""
         warmth = self._warmth(e, now)
-        fair = self.unit * (e.size if warmth >= 1.0 else min(e.size, self.mean_size))
-        if warmth < 1.0 and e.changed_at and now > e.changed_at and not self._met(e, now, e.changed_at)[0]:
+        if warmth >= 1.0:
+            return FULL_AT * self.unit * e.size
+        if self._lot(e.name) != self.place:
+            return 0.0
+        fair = self.whole * self.unit * min(e.size, self.mean_size)
+        if e.changed_at and now > e.changed_at and not self._met(e, now, e.changed_at)[0]:
             return 0.0                       # what it was given last has not shown in its sums yet
         first = 1.0 if e.changed_at > (e.started or 0) else COLD_FIRST
-        if warmth >= 1.0:
-            return FULL_AT * fair
         return first * min(1.0, COLD_FILL * self.tip) * warmth * fair * self.served
 
+    def _lot(self, name: str) -> int:
+        return max(range(self.pilots), key=lambda k: rendezvous(name, k, 1.0))
+
     def _choose(self, s: Slice, now: int) -> Optional[str]:
         """The rendezvous choice among live endpoints with room; with no room anywhere, the least burdened
         warm one, then a cold or sick one: a slice must not stay without an owner."""
-        live = self._live(now)
-        fit = [e for e in live if not self._unfit(e.name, now)]
-        order = sorted(fit, key=lambda e: (-rendezvous(e.name, s.number, e.size), e.name))
-        for e in order:
+        fit = [e for e in self.live if now >= e.sick_until]
+        for e in sorted(fit, key=lambda e: (-rendezvous(e.name, s.number, e.size), e.name)):
             if self.burden.get(e.name, 0.0) + self.rate[s.number] <= self._room_at(e, now) and (
-                    not self._strained(self._met(e, now))):
+                    not self._strained(self.met[e.name])):
                 return e.name
-        warm = [e for e in fit if self._warmth(e, now) >= 1.0] or fit or live
+        warm = [e for e in fit if self._warmth(e, now) >= 1.0] or fit or self.live
         full = {e.name: self.burden.get(e.name, 0.0) / (e.size * self._warmth(e, now)) for e in warm}
-        least = min(warm, key=lambda e: (full[e.name], e.name), default=None)
-        return least.name if least else None
+        return min(full, key=lambda name: (full[name], name), default=None)
 
     def _stopped(self, s: Slice, now: int) -> Optional[int]:
         """When the last proxy stopped: it has acked the revoke, or its stream broke a lease ago; None while
@@ -379,12 +391,12 @@
 
     # ---- the slice's state machine: each step gives its lines
 
-    def _revoke(self, s: Slice, now: int, target: Optional[str]) -> list[tuple]:
+    def _revoke(self, s: Slice, now: int, target: Optional[str], at_once: bool = False) -> list[tuple]:
         """Closes the slice to writes. The owner's line stays for the other op types while the owner is
         sound: a pilot killed now leaves the old line, and levels are reset at a giving: the abort."""
         s.state, s.since, s.target, s.mark = REVOKING, now, target, self.mark
         old = self.endpoints[s.owner]
-        if self.can_close and old.phase != "off" and now >= old.sick_until:
+        if self.can_close and not at_once and old.phase != "off" and now >= old.sick_until:
             s.closed = True
             return [("level", s.number, self.writes, 0, self.retries)]
         return self._clear(s)
@@ -418,14 +430,15 @@
                 s.state = EMPTY
 
     def _due(self, now: int) -> list[tuple[int, int, str, Optional[str]]]:
-        """(urgency, slice, step, endpoint) for all that waits for an order; the lowest urgency goes first."""
+        """(urgency, slice, step, endpoint) for all that waits for an order; the lowest urgency goes first:
+        what a rule asks for, then grants, which end a slice's closed time, then revokes, then moves and levels."""
         due: list[tuple[int, int, str, Optional[str]]] = []
         for n, s in sorted(self.slices.items()):
             sound = not self._unfit(s.owner, now)
             if s.state == OWNED and not sound:
-                due.append((0, n, "revoke", None))
+                due.append((0 if self._overdue(s, now) else 2, n, "revoke", None))
             elif s.state in (REVOKING, SETTLING):
-                if s.line and self._overdue(s, now) and self._must_leave(s.owner):
+                if s.line and self._overdue(s, now):
                     due.append((0, n, "clear", None))
                 elif s.owner and sound and (s.line or s.state == SETTLING) and (
                         s.target is None or self._unfit(s.target, now)) and self._warmth(
@@ -440,15 +453,15 @@
         """A restarted owner is cold with all its slices: those past its budget leave before it tips over: the
         last one too, as a slice in demand can be too much alone."""
         due = []
-        for e in self._live(now):
-            if self._warmth(e, now) < 1.0 and self.burden.get(e.name, 0.0) > 0:
-                limit = COLD_SHED * self.tip * self._warmth(e, now) * self.unit * e.size * self.served
-                over = self.burden[e.name] - limit
-                own = [s for _, s in sorted(self.slices.items()) if s.owner == e.name and s.state == OWNED]
-                for s in own:
-                    if over > 0:
-                        over -= self.rate[s.number]
-                        due.append((0, s.number, "shed", None))
+        for e in self.live:
+            warmth = self._warmth(e, now)
+            if warmth >= 1.0 or e.name not in self.held:
+                continue
+            over = self.burden[e.name] - COLD_SHED * self.tip * warmth * self.unit * e.size * self.served
+            for s in self.held[e.name]:
+                if over > 0 and s.state == OWNED:
+                    over -= self.rate[s.number]
+                    due.append((0, s.number, "shed", None))
         return due
 
     # ---- the cautious mover and the level
@@ -459,22 +472,23 @@
         if now < self.check_at:
             return []
         self.check_at = now + self.check_every
-        live = self._live(now)
-        met = {e.name: self._met(e, now) for e in live}
+        live, met = self.live, self.met
         self._set_level([met[e.name] for e in live if now >= e.sick_until])
         load = {e.name: load for e in live if (load := self._load(e, now)) is not None}
         if not load:
             return []
         mean = sum(load.values()) / len(load)
         lag = {e.name: self._lag(met[e.name]) for e in live if met[e.name][0]}
-        usual = sum(lag.values()) / len(lag)
-        even = sum(self.rate.values()) / len(live)
+        usual = sum(lag.values()) / max(1, len(lag))
+        even = max(1e-9, sum(self.rate.values())) / len(live)
         most = max(MOVES_A_TURN, len(live) // MOVES_PART)
         due: list[tuple[int, int, str, Optional[str]]] = []
         # A report is believed where the latency does not gainsay it: a count is larger on a larger machine,
         # and a false nought would draw the hot slices.
         # Under overload every endpoint is strained, and nothing moves: the cause is not the endpoint.
-        idle = [e for e in live if self._may_take(e, now) and not self._strained(met[e.name])]
+        moving = {name for s in self.slices.values() if s.state != OWNED for name in (s.target, s.owner)}
+        idle = [e for e in live if e.name not in moving and now - e.changed_at >= LATE + self.recent
+                and now >= e.sick_until and self._warmth(e, now) >= 1.0 and not self._strained(met[e.name])]
         for e in sorted(live, key=lambda e: (-load.get(e.name, mean), e.name)):
             hot = (load.get(e.name, mean) > mean * (1 + MARGIN) and self._strained(met[e.name])
                    and lag.get(e.name, usual) > usual * (1 + MARGIN))
@@ -482,7 +496,7 @@
             if e.hot_checks < CHECKS_RUNNING:
                 continue
             moved = 0
-            own = [s for _, s in sorted(self.slices.items()) if s.owner == e.name and s.state == OWNED
+            own = [s for s in self.held.get(e.name, ()) if s.state == OWNED
                    and now - s.moved_at >= HOLD and now - s.given_at >= self.lease]
             own.sort(key=lambda s: (-self.rate[s.number], s.number))
             for s in own:
@@ -500,13 +514,11 @@
 
     def _load(self, e: Endpoint, now: int) -> Optional[float]:
         """The endpoint's own report if it sends one, else its latency; None while nothing was heard."""
-        tries, aborted, took = self._met(e, now, e.changed_at + LATE)
-        if not tries:
+        met = self._met(e, now, e.changed_at + LATE)
+        if not met[0]:
             return None                      # sums from before a move tell nothing of the state after it
-        said = [s[5] for s in e.samples if s[5] is not None and s[0] >= now - self.recent]
-        if said and (any(said) or not took):
-            return sum(said) / len(said)
-        return self._lag((tries, aborted, took))
+        said = [s[5] for s in self._since(e.samples, now - self.recent) if s[5] is not None]
+        return sum(said) / len(said) if said and (any(said) or not met[2]) else self._lag(met)
 
     def _lag(self, met: tuple[int, int, float]) -> float:
         """Mean time of an op at an endpoint; an aborted one counts as an op timeout waited, so that an
@@ -519,16 +531,11 @@
         tries, aborted, took = met
         return tries > 0 and aborted > STRAINED * tries or took > WORTH_MOVING * self.tight
 
-    def _may_take(self, e: Endpoint, now: int) -> bool:
-        busy = any(e.name in (s.target, s.owner if s.state != OWNED else None) for s in self.slices.values())
-        return (not busy and now - e.changed_at >= LATE + self.recent and not self._unfit(e.name, now)
-                and self._warmth(e, now) >= 1.0)
-
     def _set_level(self, met: list[tuple[int, int, float]]) -> None:
         """One level for all op types. Only the middle endpoint tells of overload: a few full ones beside idle
         ones are imbalance, which the mover answers, and rejecting ops everywhere would not."""
-        share = sorted(aborted / tries for tries, aborted, _ in met if tries)
-        if share and share[len(share) // 2] > OVERLOAD:
+        share = sorted(aborted / tries for tries, aborted, _ in met if tries) or [0.0]
+        if share[len(share) // 2] > OVERLOAD:
             self.level = max(LEVEL_LEAST, self.level * LEVEL_SHARE)
         else:
             self.level = min(1.0, self.level + LEVEL_STEP)
@@ -542,13 +549,10 @@
     def _turn(self, now: int) -> None:
         """One turn: all that is due and fits becomes one delta message a proxy, with one mark."""
         joined = sum(p.joined for p in self.proxies.values())
-        if self.news or now >= self.weighed_at + WEIGH_EVERY:
-            self.news, self.weighed_at = False, now
-            self._look_for_sick(now)
-            self._weigh_up(now)
         self._advance(now)
-        due = self._due(now) + self._check(now)
         waiting = sum(t[2] for t in self.turns)
+        self.queue = max(0, self.channel_free - now) + joined * (self.head + self.leaving) * self.per_line
+        due = self._due(now) + self._check(now)
         unmarked = any(s.state == REVOKING and s.mark is not None for s in self.slices.values()) and any(
             p.joined and p.reached is None for p in self.proxies.values())
         if unmarked:
@@ -560,14 +564,17 @@
         mark = self.mark = (self.mark + 1) % MARKS
         lines: list[tuple] = []
         for urgency, n, step, name in due:
-            if waiting + joined * (self.head + len(lines) + 2) > self.room and joined:
+            if waiting + joined * (self.head + len(lines) + 2) > ROOM[urgency] * self.room and joined:
                 break
             lines += self._step(step, self.slices.get(n), name, now)
         if lines or unmarked:
             self.news = True
             lines.append(("mark", mark, True))
             self.out.extend(lines)
-            self.turns.append((mark, now, joined * (self.head + len(lines) - 1)))
+            each = self.head + len(lines) - 1
+            cost = joined * each
+            self.turns.append([mark, now, cost, each])
+            self.channel_free = max(now, self.channel_free) + cost * self.per_line
             self.sent_at = now
             for p in self.proxies.values():
                 p.reached = mark if p.joined else p.reached
@@ -578,13 +585,10 @@
             return [("level", ALL_TABLES, 0, round(self.level, 3), self.retries)]
         if s is None:
             return []
-        if step == "revoke" or step == "move":
-            return self._revoke(s, now, name)
+        if step in ("revoke", "move", "shed"):
+            return self._revoke(s, now, name, step == "shed" or self._overdue(s, now))
         if step == "clear":
             return self._clear(s)
-        if step == "shed":
-            s.state, s.since, s.target, s.mark = REVOKING, now, None, self.mark
-            return self._clear(s)
         owner = name or (s.target if not self._unfit(s.target, now) else None) or self._choose(s, now)
         if owner is None:
             return []
@@ -594,7 +598,7 @@
     def _lay_tables(self, now: int) -> None:
         """Sites without slices: one table for all, or one a zone where an op type must stay in its zone."""
         zones = self.zones if self.local_ops else [""]
-        warm = [e for e in self._live(now) if self._warmth(e, now) >= 1.0] or self._live(now)
+        warm = [e for e in self.live if self._warmth(e, now) >= 1.0] or self.live
         for t, zone in enumerate(zones):
             want = {e.name for e in warm if not zone or e.zone == zone}
             for name in sorted(want | {n for k, n in self.laid if k == t}):
@@ -613,6 +617,8 @@
             if self.asks and now >= self.ask_at:
                 self.ask_at = now + self.ask_most
                 self.out.append(("ask_list", True))
+            if self.news or now >= self.weighed_at + WEIGH_EVERY:
+                self._weigh_up(now)
             if self.slices_on:
                 self._turn(now)
             else:
--- a/cedarshift/interface.py
+++ b/cedarshift/interface.py
@@ -35,9 +35,12 @@
     gone_binds: bool = True       # an endpoint dropped from the list must be left within the grace
     retry_default: int = 0
     seed: int = 0
+    pilots: int = 1               # how many there are, and this one's place among them, from 0
+    place: int = 0
     report_field: str = ""        # the load report's value to go by, if there is one
     lines_per_message: float = 0.0
     lines_waiting_most: float = 0.0
+    lines_per_s: float = 0.0
     messages_most: int = 0
     messages_span: int = 0
     transit_most: int = 0
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -11,7 +11,7 @@
 
 def pilot(endpoints="abcd", owners="abcdabcd", proxies=2, now=0, **terms):
     """A pilot with warm endpoints, a slice for each letter of `owners` ('-': no line) and joined proxies."""
-    p = Pilot(Terms(**{**TERMS, **terms}))
+    p = Pilot(Terms(**{**TERMS, "slices": len(owners), **terms}))
     p.on_list(now, "restored", [entry(n) for n in endpoints])
     for i in range(proxies):
         p.on_join(now, i, "z")
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -134,7 +134,7 @@
 
 def test_a_turn_that_does_not_fit_the_channel_waits():
     p = pilot(lines_waiting_most=60.0)
-    p.turns.append((p.mark, 0, 40.0))
+    p.turns.append([p.mark, 0, 40.0, 20.0])
     p.on_list(100_000, "update", [entry("a", "off")])
     assert decisions(p, 100_000) == []
     p.on_ack(100_100, 0, (p.mark + 1) % MARKS, 10)   # a later mark acked: the earlier has left
@@ -163,7 +163,7 @@
     for n in "bcd":
         heard(p, 100_000, n, 20, 0, 3_000)
     heard(p, 100_000, "a", tries, aborted, took)
-    p._look_for_sick(100_000)
+    p._weigh_up(100_000)
     assert (p.endpoints["a"].sick_until > 100_000) is sick
 
 
@@ -171,7 +171,7 @@
     p = pilot()
     for n in "abc":
         heard(p, 100_000, n, 20, 20, 0)
-    p._look_for_sick(100_000)
+    p._weigh_up(100_000)
     assert not any(e.sick_until for e in p.endpoints.values())
 
 
@@ -234,7 +234,7 @@
         heard(p, 100_000, n, 20, 0, 3_000)
     p.on_met(90_000, "a", 20, 12, 40_000, 10_000, None)
     p.on_met(100_000, "a", 20, 20, 0, 10_000, None)
-    p._look_for_sick(100_000)
+    p._weigh_up(100_000)
     assert p.endpoints["a"].sick_until == 0
 
 
@@ -282,4 +282,23 @@
     p.on_list(100_000, "replace", [entry(n) for n in "bcd"])
     if tries:
         heard(p, 100_000 + after, "a", tries, aborted, 3_000)
+    p._weigh_up(100_000 + after)
     assert p._unfit("a", 100_000 + after) is unfit
+
+
+def test_one_pilot_by_lot_has_a_cold_endpoints_whole_budget():
+    rooms = []
+    for place in (0, 1, 2):
+        p = pilot(endpoints="abcd", pilots=3, place=place, slices=24)
+        p.on_list(100_000, "update", [entry("a", started=40_000)])
+        p._weigh_up(100_000)
+        rooms.append(p._room_at(p.endpoints["a"], 100_000) / p.rate[0])
+    assert sorted(rooms)[:2] == [0, 0] and max(rooms) >= 1
+
+
+def test_a_drain_finds_room_in_a_channel_that_moves_have_filled():
+    p = pilot(lines_waiting_most=200.0)
+    p.turns.append([p.mark, 0, 110.0, 55.0])
+    p.on_list(100_000, "update", [entry("a", "fading")])
+    assert decisions(p, 100_000) == []
+    assert ("line", 0, "a", 0) in decisions(p, 138_000) + decisions(p, 138_500)
