--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -1,8 +1,8 @@
 """All decisions of a cedarshift pilot; no I/O, and no clock but the time passed in.
 
-The host builds Pilot(terms), calls an on_... method for each thing learnt, which only updates what is known, then
-next_decision(now) until it returns None. Decisions are plain tuples, verb first. Types, verbs and units are in
-cedarshift/interface.py; the mechanism is told in docs/design.md."""
+The host builds Pilot(terms), calls an on_... method for each thing learnt, which only updates what is known,
+then next_decision(now) until it returns None. A decision is a plain tuple, verb first. Types, verbs and units
+are in cedarshift/interface.py; the mechanism is told in docs/design.md."""
 from __future__ import annotations
 
 import math
@@ -37,8 +37,7 @@
 SICK_MOST = 0.34          # share of endpoints; when more look bad at once the cause is not the endpoint
 SICK_SLOW = 0.7           # share of the tightest target latency; slower acks beside the aborts tell overload
 SICK_HOLD = 150_000       # 0.1 ms; no slices for a sick endpoint, doubled for each time it was sick again
-COLD_FILL = 0.4           # share of the tipping load offered: ops cost double where no key is known
-COLD_FIRST = 0.5          # share of that budget given first: how fast the machine is shows only in its sums
+COLD_FIRST = 0.5          # share of a cold budget given first: how fast the machine is shows only in its sums
 SERVED_WELL = 0.5         # acked share of all that comes under which the fleet cannot follow
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
@@ -75,7 +74,7 @@
         self.told_at = 0                     # when it was heard that it drains or is gone
         self.samples: deque = deque(maxlen=SAMPLES)  # (heard at, tries, aborted, took, span, report, from)
         self.sick_until, self.strikes, self.hot_checks = 0, 0, 0
-        self.changed_at = 0                  # when it last gained or lost a slice
+        self.changed_at, self.gained_at = 0, 0  # when it last gained or lost a slice, and when it gained one
 
 
 class Proxy:
@@ -107,8 +106,7 @@
 
 class Pilot:
     def __init__(self, terms: Terms) -> None:
-        self.single = terms.single_owner
-        self.gone_binds, self.asks = terms.gone_binds, terms.asks_list
+        self.single, self.gone_binds, self.asks = terms.single_owner, terms.gone_binds, terms.asks_list
         self.zones = list(terms.zones)
         ops = terms.op_types
         self.kinds = max(1, len(ops))
@@ -119,8 +117,7 @@
         self.can_close = terms.levels != "none" and self.single and bool(self.writes)
         self.can_level = terms.levels == "fraction"
         self.retries = terms.retry_default
-        self.lease = terms.lease if self.single else 0
-        self.settle = terms.in_flight_most if self.single else 0
+        self.lease, self.settle = (terms.lease, terms.in_flight_most) if self.single else (0, 0)
         self.recent = max(RECENT * terms.report_period, RECENT_LEAST)
         self.check_every = max(CHECK_EVERY, terms.report_period)
         self.pilots, self.place, self.slices_in_all = max(1, terms.pilots), terms.place, terms.slices
@@ -138,14 +135,14 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.proxies: dict[int, Proxy] = {}
         self.slices: dict[int, Slice] = {}
-        self.mark = Lcg(terms.seed).draw(MARKS)
+        self.mark = Lcg(terms.seed).draw(MARKS)   # the first one by chance: no mark of a life before
         self.turns: deque = deque()          # [mark, ordered at, lines, a proxy's] not known to have left
         self.sent_at = -math.inf             # when the last turn went out
         self.newcomers = False               # proxies joined since then: no mark has reached them
         self.channel_free = 0.0              # when all that was ordered has left, at the stated pace
         self.beat_nonce, self.beat_due = 0, None
         self.ask_at, self.ask_wait = 0, ASK_AGAIN
-        self.check_at: Optional[int] = None
+        self.check_at = 0                    # when the mover and the level look next
         self.level, self.level_sent = 1.0, 1.0
         self.laid: dict[tuple[int, str], bool] = {}
         self.news, self.weighed_at = True, 0  # the list, the charge or the orders changed since the weigh-up
@@ -158,8 +155,7 @@
     def on_list(self, now: int, kind: str, entries: list[Entry]) -> None:
         self.fresh = self.news = True
         if kind == "unavailable":            # an unreachable list is not an empty one: the old one stands
-            self.ask_at = now + self.ask_wait
-            self.ask_wait = min(self.ask_most, 2 * self.ask_wait)
+            self.ask_at, self.ask_wait = now + self.ask_wait, min(self.ask_most, 2 * self.ask_wait)
             return
         if kind != "restored":
             # Asked again now and then all the same: a subscription may have broken without a word.
@@ -298,7 +294,7 @@
 
     def _weigh_ways(self, now: int) -> None:
         """How much worse a zone's proxies fare at a zone's endpoints than those that fare best there: a slow
-        or lossy link, or proxies that stand still. No move, hold or level cures that, so no endpoint is blamed.
+        or lossy link, or proxies that stand still. No move or level cures that, so no endpoint is blamed.
         Harm: endpoints that fail for the zone with nearly all the traffic are left late."""
         self.ways: dict[tuple[str, str], tuple[float, float]] = {}
         got: dict[tuple[str, str], list] = {}
@@ -374,19 +370,23 @@
         if max(range(self.pilots), key=lambda place: rendezvous(e.name, place, 1.0)) != self.place:
             return 0.0
         fair = self.whole * self.unit * min(e.size, self.mean_size)
-        if e.changed_at and now > e.changed_at and not self._met(e, now, e.changed_at)[0]:
+        first = 1.0 if e.gained_at > e.started else COLD_FIRST
+        if first == 1.0 and now > e.gained_at and not self._met(e, now, e.gained_at)[0]:
             return 0.0                       # what it was given last has not shown in its sums yet
-        first = 1.0 if e.changed_at > (e.started or 0) else COLD_FIRST
-        return first * min(1.0, COLD_FILL * self.tip) * warmth * fair * self.served
+        return first * min(1.0, COLD_SHED * self.tip) * warmth * fair * self.served
+
+    def _with_room(self, s: Slice, now: int) -> Optional[str]:
+        """The rendezvous choice among live endpoints with room."""
+        fit = [e for e in self.live if now >= e.sick_until and not self._strained(self.met[e.name])
+               and self.burden.get(e.name, 0.0) + self.rate[s.number] <= self._room_at(e, now)]
+        best = max(fit, key=lambda e: (rendezvous(e.name, s.number, e.size), e.name), default=None)
+        return best.name if best else None
 
     def _choose(self, s: Slice, now: int) -> Optional[str]:
-        """The rendezvous choice among live endpoints with room; with no room anywhere, the least burdened
-        warm one, then a cold or sick one: a slice must not stay without an owner."""
+        """With no room anywhere the least burdened warm endpoint takes an orphan, then a cold or sick one."""
+        if name := self._with_room(s, now):
+            return name
         fit = [e for e in self.live if now >= e.sick_until]
-        for e in sorted(fit, key=lambda e: (-rendezvous(e.name, s.number, e.size), e.name)):
-            if self.burden.get(e.name, 0.0) + self.rate[s.number] <= self._room_at(e, now) and (
-                    not self._strained(self.met[e.name])):
-                return e.name
         warm = [e for e in fit if self._warmth(e, now) >= 1.0] or fit or self.live
         full = {e.name: self.burden.get(e.name, 0.0) / (e.size * self._warmth(e, now)) for e in warm}
         return min(full, key=lambda name: (full[name], name), default=None)
@@ -430,10 +430,9 @@
         if s.closed:
             lines.append(("level", s.number, self.writes, 1, self.retries))
         if s.owner != owner:
-            s.moved_at = now
-            for name in (s.owner, owner):
-                if name in self.endpoints:
-                    self.endpoints[name].changed_at = now
+            s.moved_at = self.endpoints[owner].changed_at = self.endpoints[owner].gained_at = now
+            if s.owner in self.endpoints:
+                self.endpoints[s.owner].changed_at = now
         s.state, s.owner, s.target, s.line, s.closed, s.since = OWNED, owner, None, True, False, now
         return lines
 
@@ -478,8 +477,6 @@
     # ---- the cautious mover and the level
 
     def _check(self, now: int) -> list[tuple[int, int, str, Optional[str]]]:
-        if self.check_at is None:
-            self.check_at = now + self.check_every
         if now < self.check_at:
             return []
         self.check_at = now + self.check_every
@@ -500,8 +497,9 @@
         idle = [e for e in live if e.name not in moving and now - e.changed_at >= LATE + self.recent
                 and now >= e.sick_until and self._warmth(e, now) >= 1.0 and not self._strained(met[e.name])]
         for e in sorted(live, key=lambda e: (-load.get(e.name, mean), e.name)):
-            hot = (load.get(e.name, mean) > mean * (1 + MARGIN) and self._strained(met[e.name])
-                   and lag.get(e.name, usual) > usual * (1 + MARGIN))
+            full = self.burden.get(e.name, 0.0) > self.unit * e.size * (1 + MARGIN)
+            hot = self._strained(met[e.name]) and (full or load.get(e.name, mean) > mean * (1 + MARGIN)
+                                                   and lag.get(e.name, usual) > usual * (1 + MARGIN))
             e.hot_checks = e.hot_checks + 1 if hot else 0  # an endpoint with no fresh sums is not hot
             if e.hot_checks < CHECKS_RUNNING:
                 continue
@@ -510,15 +508,18 @@
                    and now - s.moved_at >= HOLD and now - s.given_at >= self.lease]
             own.sort(key=lambda s: (-self.rate[s.number], s.number))
             for s in own:
-                # What a slice brings is its ops at the fleet's usual cost: a jammed source's own figures
-                # say more of its queue than of the slice, and would find every slice too large to move.
+                # A slice's part is its ops at the fleet's usual cost: a jammed source's own tell of its queue.
                 part = mean * self.rate[s.number] / even
-                if len(due) >= most or moved >= MOVES_A_SOURCE or not idle:
+                if len(due) >= most or moved >= MOVES_A_SOURCE:
                     break
-                cool = min(idle, key=lambda t: (load.get(t.name, mean), t.name))
-                if cool is not e and load.get(cool.name, mean) + part < load[e.name] - part:
-                    due.append((3, s.number, "move", cool.name))
-                    load[cool.name] = load.get(cool.name, mean) + part   # so that not all go to one
+                cool = min(idle, key=lambda t: (load.get(t.name, mean), t.name), default=e).name
+                if cool == e.name or load.get(cool, mean) + part >= load.get(e.name, mean) - part:
+                    # Where most are jammed none is far above the mean: who is past the fair share gives.
+                    cool = self._with_room(s, now) if full else None
+                if cool:
+                    due.append((3, s.number, "move", cool))
+                    load[cool] = load.get(cool, mean) + part   # so that not all go to one
+                    self.burden[cool] = self.burden.get(cool, 0.0) + self.rate[s.number]
                     moved, e.hot_checks = moved + 1, 0
         return due
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -314,3 +314,23 @@
     p._weigh_up(100_000)
     _, aborted, took = p.met["a"]
     assert (aborted > 0) is blamed and took == 3_000
+
+
+def test_where_most_are_jammed_one_past_its_fair_share_gives_to_one_with_room():
+    p = pilot(endpoints="abcd", owners="aaaabbbbcccc")
+    for now in (300_000, 350_000):
+        for n in "abc":
+            heard(p, now, n, 10, 5, 25_000)
+        p._weigh_up(now)
+        p.check_at = now
+        due = p._check(now)
+    assert due and all(step == "move" and target == "d" for _, _, step, target in due)
+
+
+@pytest.mark.parametrize("gained, room", [(0, True), (110_000, False)])
+def test_a_returned_endpoint_waits_for_its_sums_only_after_a_gain(gained, room):
+    p = pilot()
+    p.on_list(100_000, "update", [entry("a", started=100_000)])
+    p.endpoints["a"].changed_at, p.endpoints["a"].gained_at = 105_000, gained
+    p._weigh_up(150_000)
+    assert (p._room_at(p.endpoints["a"], 150_000) > 0) is room
