Sick is judged by op type, the level answers true overload only, a drain finds channel room

Also holds where an op type fails at clients' hands; harms where a dying endpoint still answers a few ops of one type.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -41,11 +41,11 @@
 SERVED_WELL = 0.5         # acked share of all that comes under which the fleet cannot follow
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
-ROOM = (0.8, 0.6, 0.5, 0.5)  # shares of the channel's waiting lines used, by urgency: a drain finds room left
+ROOM = (0.95, 0.5, 0.4, 0.4)  # shares of the channel's waiting lines used, by urgency: a drain finds room
 LEVEL_STEP = 0.05         # added to the level a check; full again within some ten checks
 LEVEL_SHARE = 0.85        # what is left of the level after a check under overload
-LEVEL_LEAST = 0.4         # the level never goes below: deeper cuts reject what would be acked
-OVERLOAD = 0.2            # share of ops aborted at the middle endpoint; ordinary days stay well below
+LEVEL_LEAST = 0.9         # the level never goes below: a rejected op is lost, one let in mostly is not
+OVERLOAD = 0.5            # share of ops aborted at the middle endpoint; jams and failures stay below
 ASK_AGAIN = 10_000        # 0.1 ms; first wait after a failed list call, doubled up to a quarter of the bound
 RENEW = 8                 # longest waits after which a subscription that seems sound is asked for again
 ALL_TABLES = 65535        # the table number that stands for all
@@ -95,7 +95,7 @@
         self.closed = False                  # its writing op types are at level 0
         self.mark: Optional[int] = None      # the mark of the revoke; None: only the lease is waited for
         self.moved_at = -HOLD
-        self.samples: deque = deque(maxlen=SAMPLES)  # (heard at, ops, span)
+        self.samples: deque = deque(maxlen=SAMPLES)  # (heard at, ops, span, unanswered, op type)
 
 
 def rendezvous(endpoint: str, number: int, weight: float) -> float:
@@ -140,12 +140,13 @@
         self.sent_at = -math.inf             # when the last turn went out
         self.newcomers = False               # proxies joined since then: no mark has reached them
         self.channel_free = 0.0              # when all that was ordered has left, at the stated pace
-        self.beat_nonce, self.beat_due = 0, None
+        self.beat = 0                        # nonce of the alarm that counts
         self.ask_at, self.ask_wait = 0, ASK_AGAIN
         self.check_at = 0                    # when the mover and the level look next
         self.level, self.level_sent = 1.0, 1.0
         self.laid: dict[tuple[int, str], bool] = {}
         self.news, self.weighed_at = True, 0  # the list, the charge or the orders changed since the weigh-up
+        self.held: dict[str, list[Slice]] = {}   # the slices that each endpoint owns
         self.mean_rate = 1e-3                # ops of a slice in 0.1 ms, until sums come
         self.out: deque = deque()
         self.fresh = False                   # a beat or a list came since the last decisions
@@ -158,7 +159,6 @@
             self.ask_at, self.ask_wait = now + self.ask_wait, min(self.ask_most, 2 * self.ask_wait)
             return
         if kind != "restored":
-            # Asked again now and then all the same: a subscription may have broken without a word.
             self.ask_wait, self.ask_at = ASK_AGAIN, now + RENEW * self.ask_most
         for e in entries:
             known = self.endpoints.setdefault(e.endpoint, Endpoint(e.endpoint))
@@ -183,10 +183,9 @@
 
     def on_given(self, now: int, slice_id: int, given: bool) -> None:
         self.news = True
-        old = self.slices.pop(slice_id, None)
+        self.slices.pop(slice_id, None)
         if given:
             s = self.slices[slice_id] = Slice(slice_id, now)
-            s.samples = old.samples if old else s.samples
             # No line held: a hand-over was cut off, so the lease and the settle time are waited out.
             s.state = REVOKING if self.single else EMPTY
             self.level_sent = 1.0            # levels are reset at a giving
@@ -216,13 +215,12 @@
         if endpoint in self.endpoints and tries > 0:
             self.endpoints[endpoint].samples.append((now, tries, aborted, took, span, report, zone))
 
-    def on_heat(self, now: int, slice_id: int, ops: int, unanswered: int, span: int) -> None:
+    def on_heat(self, now: int, slice_id: int, op_type: str, ops: int, unanswered: int, span: int) -> None:
         if slice_id in self.slices:
-            self.slices[slice_id].samples.append((now, ops, span))
+            self.slices[slice_id].samples.append((now, ops, span, unanswered, op_type))
 
     def on_alarm(self, now: int, nonce: int) -> None:
-        if nonce == self.beat_nonce:
-            self.beat_due, self.fresh = None, True
+        self.fresh = self.fresh or nonce == self.beat
 
     # ---- figures worked out from what is known
 
@@ -335,19 +333,29 @@
         return tries, aborted, time / acked if acked else 0.0
 
     def _look_for_sick(self, now: int) -> None:
-        """An endpoint that aborts most of what it is sent, while its peers do not, is sick: it aborts fast,
-        answers none or cannot be reached. Slow acks beside the aborts tell overload: to take all its slices
-        would only pass the load on. The held ones count, so that no chain of judgements empties the fleet.
-        Harm: a sound endpoint whose few ops fail for the clients' own reasons."""
+        """An endpoint that aborts most of what it is sent, fast or with no ack, unlike its peers, is sick.
+        Slow acks tell overload: to take all its slices would pass the load on. The held ones count, so no
+        chain of judgements empties the fleet. Harm: a sound one whose ops fail by the clients' fault."""
         met = {e.name: self._last_met(e, now) for e in self.live if now >= e.sick_until}
         bad = [e for e in self.live if e.name in met and (m := met[e.name])[0] >= SICK_LEAST
-               and m[1] > SICK_SHARE * m[0] and max(m[2], self.met[e.name][2]) < SICK_SLOW * self.tight]
+               and m[1] > SICK_SHARE * m[0] and max(m[2], self.met[e.name][2]) < SICK_SLOW * self.tight
+               and not self._serves_a_type(e, now)]
         if len(bad) + len(self.live) - len(met) <= SICK_MOST * len(self.live):
             for e in bad:
                 e.sick_until = now + (SICK_HOLD << min(e.strikes, 3))
                 e.strikes += 1
                 e.samples.clear()
 
+    def _serves_a_type(self, e: Endpoint, now: int) -> bool:
+        """Whether one op type at least is answered: such an endpoint is strained, not sick, and gives slices
+        as the others can bear them; all at once would jam them and lose that type too."""
+        met: dict[str, list[int]] = {}
+        for s in self.held.get(e.name, ()):
+            newest = {g[4]: g for g in reversed(self._since(s.samples, max(s.since, now - self.recent)))}
+            for _, ops, _, unanswered, op_type in newest.values():
+                met[op_type] = [a + b for a, b in zip(met.get(op_type, (0, 0)), (ops, unanswered))]
+        return any(2 * ops >= SICK_LEAST and 2 * bad < SICK_SHARE * ops for ops, bad in met.values())
+
     def _unfit(self, name: Optional[str], now: int) -> bool:
         return name not in self.standing or now < self.endpoints[name].sick_until
 
@@ -437,8 +445,7 @@
         return lines
 
     def _due(self, now: int) -> list[tuple[int, int, str, Optional[str]]]:
-        """(urgency, slice, step, endpoint) for all that waits for an order; the lowest urgency goes first:
-        what a rule asks for, then grants, which end a closed time, then revokes, then moves and levels."""
+        """(urgency, slice, step, endpoint): what a rule asks for, then grants, then revokes, then moves."""
         due: list[tuple[int, int, str, Optional[str]]] = []
         for n, s in sorted(self.slices.items()):
             if s.state == REVOKING and (at := self._stopped(s, now)) is not None:
@@ -460,8 +467,7 @@
         return sorted(due + self._cold_excess(now), key=lambda d: (d[0], d[1]))
 
     def _cold_excess(self, now: int) -> list[tuple[int, int, str, Optional[str]]]:
-        """A restarted owner is cold with all its slices: those past its budget leave before it tips over: the
-        last one too, as a slice in demand can be too much alone."""
+        """A restarted owner is cold with all its slices: those past its budget leave, the last one too."""
         due = []
         for e in self.live:
             warmth = self._warmth(e, now)
@@ -480,25 +486,24 @@
         if now < self.check_at:
             return []
         self.check_at = now + self.check_every
-        live, met = self.live, self.met
-        self._set_level([met[e.name] for e in live if now >= e.sick_until])
-        load = {e.name: load for e in live if (load := self._load(e, now)) is not None}
+        self._set_level([self.met[e.name] for e in self.live if now >= e.sick_until])
+        load = {e.name: load for e in self.live if (load := self._load(e, now)) is not None}
         if not load:
             return []
         mean = sum(load.values()) / len(load)
-        lag = {e.name: self._lag(met[e.name]) for e in live if met[e.name][0]}
+        lag = {e.name: self._lag(self.met[e.name]) for e in self.live if self.met[e.name][0]}
         usual = sum(lag.values()) / max(1, len(lag))
-        even = max(1e-9, sum(self.rate.values())) / len(live)
-        most = max(MOVES_A_TURN, len(live) // MOVES_PART)
+        even = max(1e-9, sum(self.rate.values())) / len(self.live)
+        most = max(MOVES_A_TURN, len(self.live) // MOVES_PART)
         due: list[tuple[int, int, str, Optional[str]]] = []
         # A report is believed where the latency does not gainsay it: a false nought draws hot slices.
-        # Under overload every endpoint is strained, and nothing moves: the cause is not the endpoint.
         moving = {name for s in self.slices.values() if s.state != OWNED for name in (s.target, s.owner)}
-        idle = [e for e in live if e.name not in moving and now - e.changed_at >= LATE + self.recent
-                and now >= e.sick_until and self._warmth(e, now) >= 1.0 and not self._strained(met[e.name])]
-        for e in sorted(live, key=lambda e: (-load.get(e.name, mean), e.name)):
+        idle = [e for e in self.live if e.name not in moving and now - e.changed_at >= LATE + self.recent
+                and not self._unfit(e.name, now) and self._warmth(e, now) >= 1.0
+                and not self._strained(self.met[e.name])]
+        for e in sorted(self.live, key=lambda e: (-load.get(e.name, mean), e.name)):
             full = self.burden.get(e.name, 0.0) > self.unit * e.size * (1 + MARGIN)
-            hot = self._strained(met[e.name]) and (full or load.get(e.name, mean) > mean * (1 + MARGIN)
+            hot = self._strained(self.met[e.name]) and (full or load.get(e.name, mean) > mean * (1 + MARGIN)
                                                    and lag.get(e.name, usual) > usual * (1 + MARGIN))
             e.hot_checks = e.hot_checks + 1 if hot else 0  # an endpoint with no fresh sums is not hot
             if e.hot_checks < CHECKS_RUNNING:
@@ -508,7 +513,7 @@
                    and now - s.moved_at >= HOLD and now - s.given_at >= self.lease]
             own.sort(key=lambda s: (-self.rate[s.number], s.number))
             for s in own:
-                # A slice's part is its ops at the fleet's usual cost: a jammed source's own tell of its queue.
+                # Its part is its ops at the fleet's usual cost: a jammed source's own tell of its queue.
                 part = mean * self.rate[s.number] / even
                 if len(due) >= most or moved >= MOVES_A_SOURCE:
                     break
@@ -532,8 +537,7 @@
         return sum(said) / len(said) if said and (any(said) or not met[2]) else self._lag(met)
 
     def _lag(self, met: tuple[int, int, float]) -> float:
-        """Mean time of an op at an endpoint; an aborted one counts as an op timeout waited, so that an
-        endpoint that fails its ops never reads as quick."""
+        """Mean time of an op; an aborted one counts as an op timeout waited: failing never reads as quick."""
         tries, aborted, took = met
         return ((tries - aborted) * took + aborted * self.timeout) / tries
 
@@ -543,8 +547,7 @@
         return tries > 0 and aborted > STRAINED * tries or took > WORTH_MOVING * self.tight
 
     def _set_level(self, met: list[tuple[int, int, float]]) -> None:
-        """One level for all op types. Only the middle endpoint tells of overload: a few full ones beside idle
-        ones are imbalance, which the mover answers, and rejecting ops everywhere would not."""
+        """Only the middle endpoint tells of overload: a few full ones beside idle ones are the mover's."""
         share = sorted(aborted / tries for tries, aborted, _ in met if tries) or [0.0]
         if share[len(share) // 2] > OVERLOAD:
             self.level = max(LEVEL_LEAST, self.level * LEVEL_SHARE)
@@ -569,7 +572,8 @@
         mark = self.mark = (self.mark + 1) % MARKS
         lines: list[tuple] = []
         for urgency, n, step, name in due:
-            if waiting + joined * (self.head + len(lines) + 2) > ROOM[urgency] * self.room and joined:
+            room = self.room * ROOM[urgency if waiting else 0]
+            if joined and waiting + joined * (self.head + len(lines) + 2) > room:
                 break
             lines += self._step(step, self.slices.get(n), name, now)
         if lines or unmarked:
@@ -577,9 +581,8 @@
             lines.append(("mark", mark, True))
             self.out.extend(lines)
             each = self.head + len(lines) - 1
-            cost = joined * each
-            self.turns.append([mark, now, cost, each])
-            self.channel_free = max(now, self.channel_free) + cost * self.per_line
+            self.turns.append([mark, now, joined * each, each])
+            self.channel_free = max(now, self.channel_free) + joined * each * self.per_line
             self.sent_at, self.newcomers = now, False
 
     def _step(self, step: str, s: Optional[Slice], name: Optional[str], now: int) -> list[tuple]:
@@ -621,8 +624,6 @@
                 self._turn(now)
             else:
                 self._lay_tables(now)
-            if self.beat_due is None:
-                self.beat_nonce += 1
-                self.beat_due = now + BEAT
-                self.out.append(("wake", BEAT, self.beat_nonce))
+            self.beat += 1                   # an alarm asked for earlier is passed over
+            self.out.append(("wake", BEAT, self.beat))
         return self.out.popleft() if self.out else None
--- a/cedarshift/wirehost/__main__.py
+++ b/cedarshift/wirehost/__main__.py
@@ -84,7 +84,7 @@
             pilot.on_met(now, m["endpoint"], m.get("hall") or "", m["total"], m["lost"], up(m.get("took_ns")),
                          up(m.get("period_len_ns")), stats.get(self.fields[name]))
         elif cmd == "key_load":
-            pilot.on_heat(now, m["set_id"], m["total"], m["lost"], up(m.get("period_len_ns")))
+            pilot.on_heat(now, m["set_id"], m.get("kind") or "", m["total"], m["lost"], up(m.get("period_len_ns")))
         elif cmd == "applied":
             pilot.on_ack(now, m["forwarder"], m["rev"], down(m.get("took_ns")))
         elif cmd == "attached":
