--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -20,7 +20,7 @@
 MARGIN = 0.2              # share over the mean at which an endpoint counts as hot: the design's figure
 CHECKS_RUNNING = 2        # checks; the design's two, so that one late report moves nothing
 MOVES_A_TURN = 2          # slices; the design's figure, in a small fleet
-MOVES_PART = 4            # endpoints to a move a turn in a larger fleet: hot slices come several at a time
+MOVES_PART = 8            # endpoints to a move a turn in a larger fleet: hot slices come several at a time
 MOVES_A_SOURCE = 2        # slices that one hot endpoint gives up a turn: more would overshoot on late sums
 STRAINED = 0.08           # share of ops aborted past which an endpoint is worth relieving
 HOLD = 200_000            # 0.1 ms; a moved slice stays put until its load has shown and its keys are known
@@ -42,6 +42,7 @@
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
 ROOM = (0.95, 0.5, 0.4, 0.4)  # shares of the channel's waiting lines used, by urgency: a drain finds room
+TURN_HEADS = 2            # times what a turn's heads hold the channel between turns: heads fill half at most
 LEVEL_STEP = 0.05         # added to the level a check; full again within some ten checks
 LEVEL_SHARE = 0.85        # what is left of the level after a check under overload
 LEVEL_LEAST = 0.9         # the level never goes below: a rejected op is lost, one let in mostly is not
@@ -125,11 +126,9 @@
         self.head = terms.lines_per_message + 1   # every message carries a mark
         self.room = terms.lines_waiting_most or math.inf
         self.per_line = 10_000 / terms.lines_per_s if terms.lines_per_s else 0.0   # 0.1 ms
-        # Turns an even gap apart keep the cap by themselves, and nothing urgent waits longer than that.
         self.even = terms.messages_span // max(1, terms.messages_most - 1) + 1 if terms.messages_most else 0
-        # A drained endpoint's lines are emptied so long before the grace ends, less the channel's queue.
-        self.early = terms.transit_most + self.even + terms.drain_grace // 6
-        self.grace = terms.drain_grace
+        # A drained endpoint's lines are emptied so long after it was heard, less the channel's queue.
+        self.grace = terms.drain_grace - terms.drain_grace // 6 - terms.transit_most
         self.queue = 0.0                     # 0.1 ms; what a turn ordered now waits in the channel
         self.ask_most = max(ASK_AGAIN, terms.ask_within // 4)
         self.endpoints: dict[str, Endpoint] = {}
@@ -282,9 +281,8 @@
             if s.state == OWNED:
                 self.held.setdefault(s.owner, []).append(s)
         self.leaving = sum(s.line and self._must_leave(s.owner) for s in self.slices.values())
-        sizes = sum(e.size for e in self.live)
-        self.mean_size = sizes / max(1, len(self.live))
-        self.unit = sum(self.rate.values()) / max(1e-9, sizes)   # fair burden for size 1
+        self.mean_size = sum(e.size for e in self.live) / max(1, len(self.live))
+        self.unit = sum(self.rate.values()) / max(1e-9, self.mean_size * len(self.live))  # fair for size 1
         self.whole = max(1.0, self.slices_in_all / max(1, len(self.slices)))  # all pilots' slices, in its own
         # Under overload each op comes several times over, and only what is acked tells what endpoints can do.
         came = sum(g[1] for s in self.slices.values() for g in self._since(s.samples, now - self.recent))
@@ -366,8 +364,8 @@
     def _overdue(self, s: Slice, now: int) -> bool:
         """The old owner's line must go now for the grace to be kept."""
         e = self.endpoints.get(s.owner or "")
-        due = self.grace - self.early - self.queue
-        return e is not None and self._must_leave(e.name) and now >= max(e.told_at, s.given_at) + due
+        return e is not None and self._must_leave(e.name) and (
+            now >= max(e.told_at, s.given_at) + self.grace - self.queue)
 
     def _room_at(self, e: Endpoint, now: int) -> float:
         """What an endpoint may bear of this pilot's slices. A cold one is a budget of the tipping multiple
@@ -392,12 +390,10 @@
 
     def _choose(self, s: Slice, now: int) -> Optional[str]:
         """With no room anywhere the least burdened warm endpoint takes an orphan, then a cold or sick one."""
-        if name := self._with_room(s, now):
-            return name
         fit = [e for e in self.live if now >= e.sick_until]
         warm = [e for e in fit if self._warmth(e, now) >= 1.0] or fit or self.live
         full = {e.name: self.burden.get(e.name, 0.0) / (e.size * self._warmth(e, now)) for e in warm}
-        return min(full, key=lambda name: (full[name], name), default=None)
+        return self._with_room(s, now) or min(full, key=lambda name: (full[name], name), default=None)
 
     def _stopped(self, s: Slice, now: int) -> Optional[int]:
         """When the last proxy stopped: it has acked the revoke, or its stream broke a lease ago; None while
@@ -559,15 +555,19 @@
     def _turn(self, now: int) -> None:
         """All that is due and fits becomes one delta message a proxy, with one mark."""
         joined = sum(p.joined for p in self.proxies.values())
+        heads = joined * self.head * self.per_line
+        gap = max(self.even, TURN_HEADS * heads)
+        if now - self.sent_at < gap:
+            return                           # what is due goes together: turns of a line each jam the channel
         waiting = sum(t[2] for t in self.turns)
-        self.queue = max(0, self.channel_free - now) + joined * (self.head + self.leaving) * self.per_line
-        due = self._due(now) + self._check(now)
+        self.queue = max(0, self.channel_free - now) + heads + joined * self.leaving * self.per_line + gap
+        due = self._due(now)
+        if now - self.sent_at >= 2 * self.even:   # so that a drain seldom meets a turn just gone
+            due += self._check(now)
         unmarked = self.newcomers and REVOKING in {s.state for s in self.slices.values()}
         if self.can_level and self.slices and abs(self.level - self.level_sent) >= LEVEL_STEP / 2:
             due.append((3, -1, "level", None))
-        # The mover and the level wait for a double gap, so that a drain seldom meets a turn just gone.
-        urgent = unmarked or any(d[0] <= 2 for d in due)
-        if not (due or unmarked) or now - self.sent_at < self.even * (1 if urgent else 2):
+        if not (due or unmarked):
             return
         mark = self.mark = (self.mark + 1) % MARKS
         lines: list[tuple] = []
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -346,3 +346,11 @@
     p.on_heat(100_000, 0, "put", 10, put_unanswered, 10_000)
     p._weigh_up(100_000)
     assert (p.endpoints["a"].sick_until > 100_000) is sick
+
+
+def test_turns_of_a_line_each_do_not_follow_one_another_at_once():
+    p = pilot(lines_per_s=1_000.0)                # the heads of two proxies hold the channel for 22 ms
+    p.on_list(100_000, "update", [entry("a", "off")])
+    assert decisions(p, 100_000) != []
+    p.on_list(100_100, "update", [entry("b", "off")])
+    assert decisions(p, 100_400) == [] and decisions(p, 100_440) != []
