An endpoint's fair part is its size by its speed; the mover reads latency, not reports

The speed is the lower quartile of an endpoint's kept acks against the fleet's middle, bounded at twice; it weighs room, cold budgets, rendezvous and the fair share. A report had to agree with the latency to count, so the latency decided anyway: reports are no longer read, which also ends what false ones could do. Also holds for ageing endpoints; harms where a few sums with acks misread a speed.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -29,6 +29,8 @@
 RECENT = 4                # report periods over which figures are worked out; fewer is noise, more is late
 RECENT_LEAST = 40_000     # 0.1 ms; with short periods, less time than this holds too few ops
 SAMPLES = 48              # samples kept an endpoint or slice: RECENT periods from a handful of zones
+QUICK_LEAST = 4           # sums with acks; fewer say little of an endpoint's speed
+SPEED_MOST = 2.0          # times as fast as the middle endpoint, or as slow; more is chance or a queue
 WAY_LEAST = 40            # ops; what fewer say of the way from a zone to a zone is chance
 WAY_LOST = 0.2            # share of ops lost more than on the best way; less is chance in a few dozen ops
 WAY_LATE = 0.3            # share of the tightest target latency that acks take longer than on the best way
@@ -38,7 +40,7 @@
 SICK_SLOW = 0.7           # share of the tightest target latency; slower acks beside the aborts tell overload
 SICK_HOLD = 150_000       # 0.1 ms; no slices for a sick endpoint, doubled for each time it was sick again
 COLD_FIRST = 0.5          # share of a cold budget given first: how fast the machine is shows only in its sums
-SERVED_WELL = 0.5         # acked share of all that comes under which the fleet cannot follow
+SERVED_WELL = 0.7         # acked share of all that comes under which the fleet cannot follow
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
 ROOM = (0.95, 0.5, 0.4, 0.4)  # shares of the channel's waiting lines used, by urgency: a drain finds room
@@ -71,9 +73,10 @@
 
     def __init__(self, name: str) -> None:
         self.name, self.phase, self.size, self.zone = name, "on", 1.0, ""
+        self.part = 1.0                      # what it can do against the others, by its size and speed
         self.started: Optional[int] = None   # None: long ago
         self.told_at = 0                     # when it was heard that it drains or is gone
-        self.samples: deque = deque(maxlen=SAMPLES)  # (heard at, tries, aborted, took, span, report, from)
+        self.samples: deque = deque(maxlen=SAMPLES)  # (heard at, tries, aborted, took, span, from)
         self.sick_until, self.strikes, self.hot_checks = 0, 0, 0
         self.changed_at, self.gained_at = 0, 0  # when it last gained or lost a slice, and when it gained one
 
@@ -209,10 +212,10 @@
         while self.turns and self._older(self.turns[0][0], mark):
             self.turns.popleft()             # the channel keeps order: earlier turns have left it
 
-    def on_met(self, now: int, endpoint: str, zone: str, tries: int, aborted: int, took: int, span: int,
-               report: Optional[float]) -> None:
+    def on_met(self, now: int, endpoint: str, zone: str, tries: int, aborted: int, took: int,
+               span: int) -> None:
         if endpoint in self.endpoints and tries > 0:
-            self.endpoints[endpoint].samples.append((now, tries, aborted, took, span, report, zone))
+            self.endpoints[endpoint].samples.append((now, tries, aborted, took, span, zone))
 
     def on_heat(self, now: int, slice_id: int, op_type: str, ops: int, unanswered: int, span: int) -> None:
         if slice_id in self.slices:
@@ -281,13 +284,23 @@
             if s.state == OWNED:
                 self.held.setdefault(s.owner, []).append(s)
         self.leaving = sum(s.line and self._must_leave(s.owner) for s in self.slices.values())
-        self.mean_size = sum(e.size for e in self.live) / max(1, len(self.live))
+        self._weigh_speeds(now)
+        self.mean_size = sum(e.part for e in self.live) / max(1, len(self.live))
         self.unit = sum(self.rate.values()) / max(1e-9, self.mean_size * len(self.live))  # fair for size 1
         self.whole = max(1.0, self.slices_in_all / max(1, len(self.slices)))  # all pilots' slices, in its own
         # Under overload each op comes several times over, and only what is acked tells what endpoints can do.
         came = sum(g[1] for s in self.slices.values() for g in self._since(s.samples, now - self.recent))
         self.served = max(SERVED_LEAST, min(1.0, self.acked / came / SERVED_WELL)) if came else 1.0
 
+    def _weigh_speeds(self, now: int) -> None:
+        """An endpoint's fair part is its listed size by its speed: its quicker acks against the fleet's."""
+        times = {e.name: sorted(s[3] for s in e.samples if s[3]) for e in self.live}
+        quick = {name: took[len(took) // 4] for name, took in times.items() if len(took) >= QUICK_LEAST}
+        usual = sorted(quick.values())[len(quick) // 2] if quick else 1
+        for e in self.live:
+            speed = usual / quick.get(e.name, usual) if self._warmth(e, now) >= 1.0 else 1.0
+            e.part = e.size * max(1 / SPEED_MOST, min(SPEED_MOST, speed))
+
     def _weigh_ways(self, now: int) -> None:
         """How much worse a zone's proxies fare at a zone's endpoints than those that fare best there: a slow
         or lossy link, or proxies that stand still. No move or level cures that, so no endpoint is blamed.
@@ -296,7 +309,7 @@
         got: dict[tuple[str, str], list] = {}
         for e in self.live:
             for s in self._since(e.samples, now - self.recent):
-                got.setdefault((s[6], e.zone), []).append(s)
+                got.setdefault((s[5], e.zone), []).append(s)
         fare = {way: self._sum(samples, way[1]) for way, samples in got.items()}
         self.acked = sum(tries - aborted for tries, aborted, _ in fare.values())
         for zone in {z for _, z in fare}:
@@ -323,7 +336,7 @@
 
     def _sum(self, got: list[tuple], zone: str) -> tuple[int, float, float]:
         tries, aborted, acked, time = 0, 0.0, 0, 0.0
-        for _, n, bad, took, _, _, origin in got:
+        for _, n, bad, took, _, origin in got:
             lost, late = self.ways.get((origin, zone), (0.0, 0.0))
             tries, aborted = tries + n, aborted + max(0.0, bad - lost * n)
             if took > 0:
@@ -372,10 +385,10 @@
         that one pilot has whole, by lot: split among all of them it would not hold a single slice of any."""
         warmth = self._warmth(e, now)
         if warmth >= 1.0:
-            return self.unit * e.size
+            return self.unit * e.part
         if max(range(self.pilots), key=lambda place: rendezvous(e.name, place, 1.0)) != self.place:
             return 0.0
-        fair = self.whole * self.unit * min(e.size, self.mean_size)
+        fair = self.whole * self.unit * min(e.part, self.mean_size)
         first = 1.0 if e.gained_at > e.started else COLD_FIRST
         if first == 1.0 and now > e.gained_at and not self._met(e, now, e.gained_at)[0]:
             return 0.0                       # what it was given last has not shown in its sums yet
@@ -385,14 +398,14 @@
         """The rendezvous choice among live endpoints with room."""
         fit = [e for e in self.live if now >= e.sick_until and not self._strained(self.met[e.name])
                and self.burden.get(e.name, 0.0) + self.rate[s.number] <= self._room_at(e, now)]
-        best = max(fit, key=lambda e: (rendezvous(e.name, s.number, e.size), e.name), default=None)
+        best = max(fit, key=lambda e: (rendezvous(e.name, s.number, e.part), e.name), default=None)
         return best.name if best else None
 
     def _choose(self, s: Slice, now: int) -> Optional[str]:
         """With no room anywhere the least burdened warm endpoint takes an orphan, then a cold or sick one."""
         fit = [e for e in self.live if now >= e.sick_until]
         warm = [e for e in fit if self._warmth(e, now) >= 1.0] or fit or self.live
-        full = {e.name: self.burden.get(e.name, 0.0) / (e.size * self._warmth(e, now)) for e in warm}
+        full = {e.name: self.burden.get(e.name, 0.0) / (e.part * self._warmth(e, now)) for e in warm}
         return self._with_room(s, now) or min(full, key=lambda name: (full[name], name), default=None)
 
     def _stopped(self, s: Slice, now: int) -> Optional[int]:
@@ -469,7 +482,7 @@
             warmth = self._warmth(e, now)
             if warmth >= 1.0 or e.name not in self.held:
                 continue
-            over = self.burden[e.name] - COLD_SHED * self.tip * warmth * self.unit * e.size * self.served
+            over = self.burden[e.name] - COLD_SHED * self.tip * warmth * self.unit * e.part * self.served
             for s in self.held[e.name]:
                 if over > 0 and s.state == OWNED:
                     over -= self.rate[s.number]
@@ -484,23 +497,17 @@
         self.check_at = now + self.check_every
         self._set_level([self.met[e.name] for e in self.live if now >= e.sick_until])
         load = {e.name: load for e in self.live if (load := self._load(e, now)) is not None}
-        if not load:
-            return []
-        mean = sum(load.values()) / len(load)
-        lag = {e.name: self._lag(self.met[e.name]) for e in self.live if self.met[e.name][0]}
-        usual = sum(lag.values()) / max(1, len(lag))
-        even = max(1e-9, sum(self.rate.values())) / len(self.live)
+        mean = sum(load.values()) / max(1, len(load))
+        even = max(1e-9, sum(self.rate.values())) / max(1, len(self.live))
         most = max(MOVES_A_TURN, len(self.live) // MOVES_PART)
         due: list[tuple[int, int, str, Optional[str]]] = []
-        # A report is believed where the latency does not gainsay it: a false nought draws hot slices.
         moving = {name for s in self.slices.values() if s.state != OWNED for name in (s.target, s.owner)}
         idle = [e for e in self.live if e.name not in moving and now - e.changed_at >= LATE + self.recent
                 and not self._unfit(e.name, now) and self._warmth(e, now) >= 1.0
                 and not self._strained(self.met[e.name])]
         for e in sorted(self.live, key=lambda e: (-load.get(e.name, mean), e.name)):
-            full = self.burden.get(e.name, 0.0) > self.unit * e.size * (1 + MARGIN)
-            hot = self._strained(self.met[e.name]) and (full or load.get(e.name, mean) > mean * (1 + MARGIN)
-                                                   and lag.get(e.name, usual) > usual * (1 + MARGIN))
+            full = self.burden.get(e.name, 0.0) > self.unit * e.part * (1 + MARGIN)
+            hot = self._strained(self.met[e.name]) and (full or load.get(e.name, mean) > mean * (1 + MARGIN))
             e.hot_checks = e.hot_checks + 1 if hot else 0  # an endpoint with no fresh sums is not hot
             if e.hot_checks < CHECKS_RUNNING:
                 continue
@@ -525,17 +532,10 @@
         return due
 
     def _load(self, e: Endpoint, now: int) -> Optional[float]:
-        """The endpoint's own report if it sends one, else its latency; None while nothing was heard."""
-        met = self._met(e, now, e.changed_at + LATE)
-        if not met[0]:
-            return None                      # sums from before a move tell nothing of the state after it
-        said = [s[5] for s in self._since(e.samples, now - self.recent) if s[5] is not None]
-        return sum(said) / len(said) if said and (any(said) or not met[2]) else self._lag(met)
-
-    def _lag(self, met: tuple[int, int, float]) -> float:
-        """Mean time of an op; an aborted one counts as an op timeout waited: failing never reads as quick."""
-        tries, aborted, took = met
-        return ((tries - aborted) * took + aborted * self.timeout) / tries
+        """Mean time of an op, by sums begun after the last move; an aborted one counts as an op timeout waited.
+        Reports are not read: a count in hand means little between machines, and a false nought draws slices."""
+        tries, aborted, took = self._met(e, now, e.changed_at + LATE)
+        return ((tries - aborted) * took + aborted * self.timeout) / tries if tries else None
 
     def _strained(self, met: tuple[int, int, float]) -> bool:
         """A hand-over costs seconds of writes: an endpoint whose ops are in time keeps its slices."""
--- a/cedarshift/wirehost/__main__.py
+++ b/cedarshift/wirehost/__main__.py
@@ -34,21 +34,17 @@
 def terms(seed: Any, env: dict) -> Terms:
     """The settings message in the module's words and units."""
     fam, rules = env.get("family_info") or {}, env.get("rules") or {}
-    report = env.get("load_report") or {}
     mutating, local = fam.get("mutating") or [], fam.get("stays_local") or []
     ops = tuple(
         OpType(c.get("name") or "", up(c.get("on_time_ns")), up(c.get("deadline_ns")),
                bool(mutating[i]) if i < len(mutating) else False, bool(local[i]) if i < len(local) else False)
         for i, c in enumerate(env.get("classes") or []))
-    fields = report.get("fields") or []
-    in_answers = report.get("source") == "answers"
     return Terms(
         op_types=ops, zones=tuple(env.get("zones") or ()), slices=int(fam.get("ranges") or 0),
         single_owner=bool(fam.get("one_owner")), asks_list=env.get("discovery") == "ask",
         levels=fam.get("throttle_by") or "none", gone_binds=not rules.get("soft_removal"),
         retry_default=int(fam.get("retry_default") or 0), seed=int(seed or 0),
         pilots=int(env.get("fleet_size") or 1), place=int(env.get("position") or 0),
-        report_field="outstanding" if in_answers and "outstanding" in fields else "",
         lines_per_message=float(fam.get("per_message") or 0),
         lines_waiting_most=float(fam.get("pending_max") or 0), lines_per_s=float(fam.get("push_rate") or 0),
         messages_most=int(fam.get("messages_most") or 0),
@@ -61,16 +57,14 @@
 
 
 class Host:
-    """One process's pilots and the report field that each reads."""
+    """One process's pilots."""
 
     def __init__(self) -> None:
         self.pilots: dict[str, Pilot] = {}
-        self.fields: dict[str, str] = {}
 
     def feed(self, now: int, name: str, cmd: str, m: dict) -> None:
         if cmd == "spawn":
-            t = terms(m.get("prng"), m.get("env") or {})
-            self.pilots[name], self.fields[name] = Pilot(t), t.report_field
+            self.pilots[name] = Pilot(terms(m.get("prng"), m.get("env") or {}))
             return
         pilot = self.pilots.get(name)
         if pilot is None:
@@ -80,9 +74,8 @@
         elif cmd == "alarm":
             pilot.on_alarm(now, m["nonce"])
         elif cmd == "tally":
-            stats = m.get("server_stats") or {}
             pilot.on_met(now, m["endpoint"], m.get("hall") or "", m["total"], m["lost"], up(m.get("took_ns")),
-                         up(m.get("period_len_ns")), stats.get(self.fields[name]))
+                         up(m.get("period_len_ns")))
         elif cmd == "key_load":
             pilot.on_heat(now, m["set_id"], m.get("kind") or "", m["total"], m["lost"], up(m.get("period_len_ns")))
         elif cmd == "applied":
