--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -532,8 +532,8 @@
         return due
 
     def _load(self, e: Endpoint, now: int) -> Optional[float]:
-        """Mean time of an op, by sums begun after the last move; an aborted one counts as an op timeout waited.
-        Reports are not read: a count in hand means little between machines, and a false nought draws slices."""
+        """Mean time of an op, by sums begun after the last move; an aborted one counts as an op timeout.
+        Reports are not read: a count means little between machines, and a false nought draws slices."""
         tries, aborted, took = self._met(e, now, e.changed_at + LATE)
         return ((tries - aborted) * took + aborted * self.timeout) / tries if tries else None
 
