--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -47,8 +47,8 @@
 TURN_HEADS = 2            # times what a turn's heads hold the channel between turns: heads fill half at most
 LEVEL_STEP = 0.05         # added to the level a check; full again within some ten checks
 LEVEL_SHARE = 0.85        # what is left of the level after a check under overload
-LEVEL_LEAST = 0.9         # the level never goes below: a rejected op is lost, one let in mostly is not
-OVERLOAD = 0.5            # share of ops aborted at the middle endpoint; jams and failures stay below
+LEVEL_LEAST = 0.6         # the level never goes below: deeper cuts reject what would be acked
+OVERLOAD = 0.7            # share of the tightest target latency that the middle endpoint takes under overload
 ASK_AGAIN = 10_000        # 0.1 ms; first wait after a failed list call, doubled up to a quarter of the bound
 RENEW = 8                 # longest waits after which a subscription that seems sound is asked for again
 ALL_TABLES = 65535        # the table number that stands for all
@@ -543,9 +543,9 @@
         return tries > 0 and aborted > STRAINED * tries or took > WORTH_MOVING * self.tight
 
     def _set_level(self, met: list[tuple[int, int, float]]) -> None:
-        """Only the middle endpoint tells of overload: a few full ones beside idle ones are the mover's."""
-        share = sorted(aborted / tries for tries, aborted, _ in met if tries) or [0.0]
-        if share[len(share) // 2] > OVERLOAD:
+        """Only the middle endpoint's slow acks tell of overload; a few full ones are the mover's to answer."""
+        slow = sorted(took for tries, _, took in met if tries) or [0.0]
+        if slow[len(slow) // 2] > OVERLOAD * self.tight:
             self.level = max(LEVEL_LEAST, self.level * LEVEL_SHARE)
         else:
             self.level = min(1.0, self.level + LEVEL_STEP)
