--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -543,7 +543,7 @@
         return tries > 0 and aborted > STRAINED * tries or took > WORTH_MOVING * self.tight
 
     def _set_level(self, met: list[tuple[int, int, float]]) -> None:
-        """Only the middle endpoint's slow acks tell of overload; a few full ones are the mover's to answer."""
+        """Only the middle endpoint's slow acks tell of overload; a few full ones are left to the mover."""
         slow = sorted(took for tries, _, took in met if tries) or [0.0]
         if slow[len(slow) // 2] > OVERLOAD * self.tight:
             self.level = max(LEVEL_LEAST, self.level * LEVEL_SHARE)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -364,3 +364,45 @@
             heard(p, at, n, 10, 0, took if n == "a" else 3_000)
     p._weigh_up(100_000)
     assert p.endpoints["a"].part == pytest.approx(part)
+
+
+def test_a_full_fleet_goes_through_a_deploy_rule_by_rule():
+    names = [f"e{i:02}" for i in range(80)]
+    owners = [names[i % 80] for i in range(600)]
+    p = pilot(names, owners, 70, lines_per_s=10_000.0, lines_waiting_most=15_000.0)
+    weighed, weigh = [], p._weigh_up
+    p._weigh_up = lambda now: (weighed.append(now), weigh(now))
+    gone, free, acks, stopped, line_at, turns = names[:8], 0, [], {}, {}, 0
+    p.on_list(100_000, "update", [entry(n, "fading") for n in gone])
+    for now in range(100_000, 250_000, 250):
+        for at, proxy, mark, sent in [a for a in acks if a[0] <= now]:
+            p.on_ack(now, proxy, mark, at - sent)
+        acks = [a for a in acks if a[0] > now]
+        p.on_met(now, names[now // 250 % 80], "z", 10, 0, 3_000, 10_000)
+        out = decisions(p, now)
+        if not out:
+            continue
+        turns, free = turns + 1, max(now, free) + 70 * (len(out) + 11)    # a line leaves in 0.1 ms
+        assert free - now <= 15_000                                        # rule five
+        acks += [(free + 2_000, proxy, p.mark, now) for proxy in range(70)]
+        for d in out:
+            if d[0] == "level" or d[3] == 0:
+                stopped.setdefault(d[1], free + 2_000)
+            if d[0] == "line":
+                line_at[d[1]] = (d[2] if d[3] else None, free + 2_000)
+                assert not d[3] or now >= stopped[d[1]] + 30_000    # rule two: each ack, then the settle time
+    moved = [n for n in range(600) if names[n % 80] in gone]
+    assert all(n in stopped and p.slices[n].owner not in gone for n in moved)
+    assert all(line_at[n][0] not in gone + [None] for n in moved) and set(line_at) == set(moved)
+    assert len(weighed) <= 150_000 / 2_000 + 2 * turns + 2                 # at a pace, not for each sum
+
+
+def test_a_drained_line_is_emptied_within_the_grace_at_full_size():
+    names = [f"e{i:02}" for i in range(80)]
+    owners = [names[i % 80] for i in range(600)]
+    p = pilot(names, owners, 70, lines_per_s=10_000.0, lines_waiting_most=15_000.0)
+    p.on_list(100_000, "update", [entry(n, "fading") for n in names[:8]])
+    emptied = {}
+    for now in range(100_000, 140_000, 250):          # no proxy acks, so no hand-over gets on
+        emptied.update({d[1]: now for d in decisions(p, now) if d[0] == "line"})
+    assert len(emptied) == 64 and max(emptied.values()) + 5_000 + 70 * 75 <= 140_000
