--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -369,7 +369,7 @@
 def test_a_full_fleet_goes_through_a_deploy_rule_by_rule():
     names = [f"e{i:02}" for i in range(80)]
     owners = [names[i % 80] for i in range(600)]
-    p = pilot(names, owners, 70, lines_per_s=10_000.0, lines_waiting_most=15_000.0)
+    p = pilot(names, owners, 70, lines_per_s=10_000.0, lines_waiting_most=5_000.0)
     weighed, weigh = [], p._weigh_up
     p._weigh_up = lambda now: (weighed.append(now), weigh(now))
     gone, free, acks, stopped, line_at, turns = names[:8], 0, [], {}, {}, 0
@@ -383,7 +383,7 @@
         if not out:
             continue
         turns, free = turns + 1, max(now, free) + 70 * (len(out) + 11)    # a line leaves in 0.1 ms
-        assert free - now <= 15_000                                        # rule five
+        assert free - now <= 5_000                                        # rule five
         acks += [(free + 2_000, proxy, p.mark, now) for proxy in range(70)]
         for d in out:
             if d[0] == "level" or d[3] == 0:
