--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -22,7 +22,7 @@
 MOVES_A_TURN = 2          # slices; the design's figure, in a small fleet
 MOVES_PART = 8            # endpoints to a move a turn in a larger fleet: hot slices come several at a time
 MOVES_A_SOURCE = 2        # slices that one hot endpoint gives up a turn: more would overshoot on late sums
-STRAINED = 0.08           # share of ops aborted past which an endpoint is worth relieving
+STRAINED = 0.08           # share of ops aborted beyond the middle endpoint's: an endpoint worth relieving
 HOLD = 200_000            # 0.1 ms; a moved slice stays put until its load has shown and its keys are known
 WORTH_MOVING = 0.4        # share of the tightest target latency; under it a hot endpoint is in time
 LATE = 15_000             # 0.1 ms; how late a sum may come; one begun sooner after a move tells of before
@@ -34,8 +34,8 @@
 WAY_LEAST = 40            # ops; what fewer say of the way from a zone to a zone is chance
 WAY_LOST = 0.2            # share of ops lost more than on the best way; less is chance in a few dozen ops
 WAY_LATE = 0.3            # share of the tightest target latency that acks take longer than on the best way
-SICK_SHARE = 0.5          # share of ops aborted; a busy but sound endpoint stays well below
-SICK_LEAST = 8            # ops; fewer tell nothing of a share
+SICK_SHARE = 0.75         # share of ops aborted; what loses a third of all ops seldom reaches it by chance
+SICK_LEAST = 12           # ops; fewer tell nothing of a share, and each endpoint is judged again and again
 SICK_MOST = 0.34          # share of endpoints; when more look bad at once the cause is not the endpoint
 SICK_SLOW = 0.7           # share of the tightest target latency; slower acks beside the aborts tell overload
 SICK_HOLD = 150_000       # 0.1 ms; no slices for a sick endpoint, doubled for each time it was sick again
@@ -150,8 +150,7 @@
         self.news, self.weighed_at = True, 0  # the list, the charge or the orders changed since the weigh-up
         self.held: dict[str, list[Slice]] = {}   # the slices that each endpoint owns
         self.mean_rate = 1e-3                # ops of a slice in 0.1 ms, until sums come
-        self.out: deque = deque()
-        self.fresh = False                   # a beat or a list came since the last decisions
+        self.out, self.fresh = deque(), False   # decisions to hand out; a beat or a list came since the last
 
     # ---- inputs: only what is known changes here
 
@@ -271,10 +270,12 @@
         self.standing = {e.name for e in self.live}
         self._weigh_ways(now)
         self.met = {e.name: self._met(e, now) for e in self.live}
+        shares = sorted(aborted / tries for tries, aborted, _ in self.met.values() if tries) or [0.0]
+        self.usual = shares[len(shares) // 2]    # share of ops that abort at the middle endpoint
         self._look_for_sick(now)
         heard = {n: self._rate(s, now) for n, s in sorted(self.slices.items())}
-        known = [rate for rate in heard.values() if rate is not None]
-        self.mean_rate = sum(known) / len(known) if known else self.mean_rate
+        if known := [rate for rate in heard.values() if rate is not None]:
+            self.mean_rate = sum(known) / len(known)
         self.rate = {n: (self.mean_rate if rate is None else rate) + self.mean_rate * 0.1
                      for n, rate in heard.items()}
         self.burden, self.held = {}, {}
@@ -288,7 +289,6 @@
         self.mean_size = sum(e.part for e in self.live) / max(1, len(self.live))
         self.unit = sum(self.rate.values()) / max(1e-9, self.mean_size * len(self.live))  # fair for size 1
         self.whole = max(1.0, self.slices_in_all / max(1, len(self.slices)))  # all pilots' slices, in its own
-        # Under overload each op comes several times over, and only what is acked tells what endpoints can do.
         came = sum(g[1] for s in self.slices.values() for g in self._since(s.samples, now - self.recent))
         self.served = max(SERVED_LEAST, min(1.0, self.acked / came / SERVED_WELL)) if came else 1.0
 
@@ -538,9 +538,9 @@
         return ((tries - aborted) * took + aborted * self.timeout) / tries if tries else None
 
     def _strained(self, met: tuple[int, int, float]) -> bool:
-        """A hand-over costs seconds of writes: an endpoint whose ops are in time keeps its slices."""
+        """A hand-over costs seconds of writes: not for one in time that aborts no more than its peers."""
         tries, aborted, took = met
-        return tries > 0 and aborted > STRAINED * tries or took > WORTH_MOVING * self.tight
+        return tries > 0 and aborted > (STRAINED + self.usual) * tries or took > WORTH_MOVING * self.tight
 
     def _set_level(self, met: list[tuple[int, int, float]]) -> None:
         """Only the middle endpoint's slow acks tell of overload; a few full ones are left to the mover."""
