Orders go by whose grace ends first; revokes of owners that must be left stand beside grants

Also holds for a take-over in the midst of a deploy; harms by a turn's wait for grants in a mass loss.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -374,11 +374,13 @@
         e = self.endpoints.get(name or "")
         return e is None or e.phase in ("fading", "off")
 
+    def _told(self, s: Slice) -> float:      # from when on the grace runs for its owner, if that must be left
+        e = self.endpoints.get(s.owner or "")
+        return max(e.told_at, s.given_at) if e and self._must_leave(e.name) else math.inf
+
     def _overdue(self, s: Slice, now: int) -> bool:
         """The old owner's line must go now for the grace to be kept."""
-        e = self.endpoints.get(s.owner or "")
-        return e is not None and self._must_leave(e.name) and (
-            now >= max(e.told_at, s.given_at) + self.grace - self.queue)
+        return now >= self._told(s) + self.grace - self.queue
 
     def _room_at(self, e: Endpoint, now: int) -> float:
         """What an endpoint may bear of this pilot's slices. A cold one is a budget of the tipping multiple
@@ -463,7 +465,8 @@
                 s.state = EMPTY
             sound = not self._unfit(s.owner, now)
             if s.state == OWNED and not sound:
-                due.append((0 if self._overdue(s, now) else 2, n, "revoke", None))
+                urgency = 0 if self._overdue(s, now) else 1 if self._must_leave(s.owner) else 2
+                due.append((urgency, n, "revoke", None))
             elif s.state in (REVOKING, SETTLING):
                 if s.line and self._overdue(s, now):
                     due.append((0, n, "clear", None))
@@ -473,17 +476,15 @@
                     due.append((1, n, "grant", s.owner))   # the abort
             elif s.state == EMPTY:
                 due.append((1, n, "grant", None))
-        return sorted(due + self._cold_excess(now), key=lambda d: (d[0], d[1]))
+        return sorted(due + self._cold_excess(now), key=lambda d: (d[0], self._told(self.slices[d[1]]), d[1]))
 
     def _cold_excess(self, now: int) -> list[tuple[int, int, str, Optional[str]]]:
         """A restarted owner is cold with all its slices: those past its budget leave, the last one too."""
         due = []
         for e in self.live:
             warmth = self._warmth(e, now)
-            if warmth >= 1.0 or e.name not in self.held:
-                continue
-            over = self.burden[e.name] - COLD_SHED * self.tip * warmth * self.unit * e.part * self.served
-            for s in self.held[e.name]:
+            over = self.burden.get(e.name, 0) - COLD_SHED * self.tip * warmth * self.unit * e.part * self.served
+            for s in self.held.get(e.name, ()) if warmth < 1.0 else ():
                 if over > 0 and s.state == OWNED:
                     over -= self.rate[s.number]
                     due.append((0, s.number, "shed", None))
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -416,3 +416,11 @@
         heard(p, 100_000, n, 20, 4 if n == "a" else others, 3_000)
     p._weigh_up(100_000)
     assert p._strained(p.met["a"]) is strained
+
+
+def test_whose_grace_ends_first_is_left_first():
+    p = pilot()
+    p.on_list(100_000, "update", [entry("d", "off")])
+    p.on_list(101_000, "update", [entry("a", "off")])
+    p._weigh_up(130_000)
+    assert [n for _, n, step, _ in p._due(130_000)] == [3, 7, 0, 4]
