As many moves a turn as endpoints stand empty, shared among the pilots

An empty endpoint takes a slice at no other's cost. Harm: where what looks empty to one pilot is full of another's slices, which the latency shows only after the move.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -90,8 +90,6 @@
 
 
 class Slice:
-    """One slice of the keys and where its hand-over stands."""
-
     def __init__(self, number: int, now: int) -> None:
         self.number, self.given_at, self.since = number, now, now
         self.state, self.owner, self.target = EMPTY, None, None
@@ -204,8 +202,7 @@
         if p and p.joined and (p.acked is None or not self._older(mark, p.acked)):
             p.acked = mark
             turn = next((t for t in self.turns if t[0] == mark), None)
-            # The order's own age says when it took effect, which is sooner than the ack was heard.
-            p.acked_at = min(now, turn[1] + took) if turn else now
+            p.acked_at = min(now, turn[1] + took) if turn else now   # it took effect before it was heard
             if turn:
                 turn[2] -= turn[3]           # its message has left the channel
         while self.turns and self._older(self.turns[0][0], mark):
@@ -483,7 +480,8 @@
         due = []
         for e in self.live:
             warmth = self._warmth(e, now)
-            over = self.burden.get(e.name, 0) - COLD_SHED * self.tip * warmth * self.unit * e.part * self.served
+            limit = COLD_SHED * self.tip * warmth * self.served * self.unit * e.part
+            over = self.burden.get(e.name, 0.0) - limit
             for s in self.held.get(e.name, ()) if warmth < 1.0 else ():
                 if over > 0 and s.state == OWNED:
                     over -= self.rate[s.number]
@@ -500,7 +498,8 @@
         load = {e.name: load for e in self.live if (load := self._load(e, now)) is not None}
         mean = sum(load.values()) / max(1, len(load))
         even = max(1e-9, sum(self.rate.values())) / max(1, len(self.live))
-        most = max(MOVES_A_TURN, len(self.live) // MOVES_PART)
+        empty = sum(e.name not in self.burden for e in self.live) // self.pilots   # its share of those
+        most = max(MOVES_A_TURN, len(self.live) // MOVES_PART, empty)
         due: list[tuple[int, int, str, Optional[str]]] = []
         moving = {name for s in self.slices.values() if s.state != OWNED for name in (s.target, s.owner)}
         idle = [e for e in self.live if e.name not in moving and now - e.changed_at >= LATE + self.recent
@@ -570,7 +569,7 @@
             due.append((3, -1, "level", None))
         if not (due or unmarked):
             return
-        mark = self.mark = (self.mark + 1) % MARKS
+        self.mark = (self.mark + 1) % MARKS
         lines: list[tuple] = []
         for urgency, n, step, name in due:
             room = self.room * ROOM[urgency if waiting else 0]
@@ -579,10 +578,10 @@
             lines += self._step(step, self.slices.get(n), name, now)
         if lines or unmarked:
             self.news = True
-            lines.append(("mark", mark, True))
+            lines.append(("mark", self.mark, True))
             self.out.extend(lines)
             each = self.head + len(lines) - 1
-            self.turns.append([mark, now, joined * each, each])
+            self.turns.append([self.mark, now, joined * each, each])
             self.channel_free = max(now, self.channel_free) + joined * each * self.per_line
             self.sent_at, self.newcomers = now, False
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -424,3 +424,15 @@
     p.on_list(101_000, "update", [entry("a", "off")])
     p._weigh_up(130_000)
     assert [n for _, n, step, _ in p._due(130_000)] == [3, 7, 0, 4]
+
+
+@pytest.mark.parametrize("pilots, moves", [(1, 4), (2, 2)])
+def test_as_many_moves_a_turn_as_endpoints_stand_empty(pilots, moves):
+    p = pilot("abcdefgh", "aabbccdd" * 2, pilots=pilots)
+    for now in (300_000, 350_000):
+        for n in "abcd":
+            heard(p, now, n, 10, 5, 25_000)
+        p._weigh_up(now)
+        p.check_at = now
+        due = p._check(now)
+    assert len(due) == moves
