--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -128,8 +128,9 @@
         self.room = terms.lines_waiting_most or math.inf
         self.per_line = 10_000 / terms.lines_per_s if terms.lines_per_s else 0.0   # 0.1 ms
         self.even = terms.messages_span // max(1, terms.messages_most - 1) + 1 if terms.messages_most else 0
-        # A drained endpoint's lines are emptied so long after it was heard, less the channel's queue.
-        self.grace = terms.drain_grace - terms.drain_grace // 6 - terms.transit_most
+        # A drained endpoint's lines go so long after it was heard, less the channel's queue: an op taken in
+        # before may still wait for its connection.
+        self.grace = terms.drain_grace - terms.drain_grace // 6 - terms.transit_most - terms.connect_most
         self.queue = 0.0                     # 0.1 ms; what a turn ordered now waits in the channel
         self.ask_most = max(ASK_AGAIN, terms.ask_within // 4)
         self.endpoints: dict[str, Endpoint] = {}
@@ -376,7 +377,6 @@
         return max(e.told_at, s.given_at) if e and self._must_leave(e.name) else math.inf
 
     def _overdue(self, s: Slice, now: int) -> bool:
-        """The old owner's line must go now for the grace to be kept."""
         return now >= self._told(s) + self.grace - self.queue
 
     def _room_at(self, e: Endpoint, now: int) -> float:
--- a/cedarshift/interface.py
+++ b/cedarshift/interface.py
@@ -43,6 +43,7 @@
     messages_most: int = 0
     messages_span: int = 0
     transit_most: int = 0
+    connect_most: int = 0         # how long a proxy waits for a new connection
     report_period: int = 0
     lease: int = 0
     in_flight_most: int = 0
--- a/cedarshift/wirehost/__main__.py
+++ b/cedarshift/wirehost/__main__.py
@@ -50,6 +50,7 @@
         messages_most=int(fam.get("messages_most") or 0),
         messages_span=up(fam.get("reload_span_ns")), transit_most=up(fam.get("push_delay_max_ns")),
         report_period=up(fam.get("report_every_ns")),
+        connect_most=up((env.get("policy_limits") or {}).get("dial_timeout_ns")),
         lease=up(fam.get("lease_ns")), in_flight_most=up(fam.get("in_flight_max_ns")),
         drain_grace=down(rules.get("drain_grace_ns")), ask_within=down(rules.get("ask_within_ns")),
         warm_within=up(rules.get("warm_within_ns")), cold_share=float(rules.get("cold_from") or 1.0),
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -84,9 +84,10 @@
     assert ("level", 0, 2, 1, 0) in out and p.slices[0].owner == "a" and p.slices[0].state == OWNED
 
 
-@pytest.mark.parametrize("at, emptied", [(105_000, False), (138_000, True)])
-def test_a_drained_endpoints_line_goes_within_the_grace(at, emptied):
-    p = revoking()
+@pytest.mark.parametrize("at, connect, emptied", [
+    (105_000, 0, False), (138_000, 0, True), (127_000, 0, False), (127_000, 5_000, True)])
+def test_a_drained_endpoints_line_goes_within_the_grace(at, connect, emptied):
+    p = revoking(connect_most=connect)
     assert (("line", 0, "a", 0) in decisions(p, at)) is emptied
 
 
