A turn waits until the channel is free; cold budgets shrink by the acked share times the tipping multiple

What is due now waits in the pilot and goes together, the urgent first. Cold budgets: how much a cold endpoint stands depends on the multiple at which it tips, so that figure scales the acked share under which budgets shrink (at the least multiple as before).

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -40,7 +40,7 @@
 SICK_SLOW = 0.7           # share of the tightest target latency; slower acks beside the aborts tell overload
 SICK_HOLD = 150_000       # 0.1 ms; no slices for a sick endpoint, doubled for each time it was sick again
 COLD_FIRST = 0.5          # share of a cold budget given first: how fast the machine is shows only in its sums
-SERVED_WELL = 0.7         # acked share of all that comes under which the fleet cannot follow
+SERVED_WELL = 1.75        # acked share of all that comes by the tipping multiple: less shrinks cold budgets
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
 ROOM = (0.95, 0.5, 0.4, 0.4)  # shares of the channel's waiting lines used, by urgency: a drain finds room
@@ -288,7 +288,7 @@
         self.unit = sum(self.rate.values()) / max(1e-9, self.mean_size * len(self.live))  # fair for size 1
         self.whole = max(1.0, self.slices_in_all / max(1, len(self.slices)))  # all pilots' slices, in its own
         came = sum(g[1] for s in self.slices.values() for g in self._since(s.samples, now - self.recent))
-        self.served = max(SERVED_LEAST, min(1.0, self.acked / came / SERVED_WELL)) if came else 1.0
+        self.served = max(SERVED_LEAST, min(1.0, self.tip * self.acked / came / SERVED_WELL)) if came else 1.0
 
     def _weigh_speeds(self, now: int) -> None:
         """An endpoint's fair part is its listed size by its speed: its quicker acks against the fleet's."""
@@ -557,8 +557,8 @@
         joined = sum(p.joined for p in self.proxies.values())
         heads = joined * self.head * self.per_line
         gap = max(self.even, TURN_HEADS * heads)
-        if now - self.sent_at < gap:
-            return                           # what is due goes together: turns of a line each jam the channel
+        if now < max(self.sent_at + gap, self.channel_free):
+            return                           # what is due waits here and goes together, the urgent first
         waiting = sum(t[2] for t in self.turns)
         self.queue = max(0, self.channel_free - now) + heads + joined * self.leaving * self.per_line + gap
         due = self._due(now)
