--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# One command a task. `make setup` is done by the others where it is needed.
+PYTHON ?= python3
+BIN = .venv/bin
+
+.PHONY: setup rehearse test bench check
+
+setup: .venv/set-up
+
+.venv/set-up: pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv .venv
+	$(BIN)/pip install -q -e '.[program,rehearsal,test]'
+	touch $@
+
+rehearse: setup
+	$(BIN)/cedarshift rehearse cyclone-morning
+
+test: setup
+	$(BIN)/python -m pytest -q
+
+bench: setup
+	$(BIN)/python -m benchmarks.orders
+	$(BIN)/python -m benchmarks.handover
+	$(BIN)/python -m benchmarks.footprint
+
+check: setup
+	$(BIN)/mypy
--- /dev/null
+++ b/cedarshift/codec/messages.py
@@ -0,0 +1,244 @@
+"""The messages of the main protocol. Spans are whole microseconds; no message carries a wall-clock time.
+
+Bodies are MessagePack. Structs travel as maps, so a newer minor version may add fields, which an older one passes
+over; the small rows (`Line`, `Level`, ...) travel as arrays, to which fields may be added at the end.
+"""
+from __future__ import annotations
+
+from typing import Annotated, Optional
+
+import msgspec
+
+MAJOR = 1
+MINOR = 0
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]   # counts and spans: never below nought
+Table = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+Part = Annotated[float, msgspec.Meta(ge=0)]
+Name = Annotated[str, msgspec.Meta(max_length=256)]
+
+
+class Row(msgspec.Struct, array_like=True, frozen=True):
+    """A small array inside a message."""
+
+
+class Line(Row, frozen=True, array_like=True):
+    """One line of a table: weight 0 removes it. `epoch` is the giving under which it was ordered."""
+    table: Table
+    endpoint: Name
+    weight: Part = 1.0
+    epoch: Count = 0
+
+
+class Level(Row, frozen=True, array_like=True):
+    """What share of some op types a table lets in; mask 0 stands for all op types, table 65535 for all tables."""
+    table: Table
+    mask: Count
+    share: Part
+    retries: Count = 0
+    epoch: Count = 0
+
+
+class Met(Row, frozen=True, array_like=True):
+    """What a proxy met at an endpoint: tries, those aborted, mean time of the acked (us), span counted over (us)."""
+    endpoint: Name
+    tries: Count
+    aborted: Count
+    took: Count
+    span: Count
+
+
+class Heat(Row, frozen=True, array_like=True):
+    """What came for a slice: ops of a type (by its place among the op types), those let in and not answered, span."""
+    slice: Table
+    op_type: Count
+    ops: Count
+    unanswered: Count
+    span: Count
+
+
+class Held(Row, frozen=True, array_like=True):
+    """A slice as the store holds it: the giving's epoch, the version, the owner ("" for none) and its levels."""
+    slice: Table
+    epoch: Count
+    version: Count
+    owner: Name
+    levels: list[Level] = []
+
+
+class Write(Row, frozen=True, array_like=True):
+    """A change of a slice in the store under an epoch; `owner` None leaves the line as it is, "" empties it."""
+    slice: Table
+    epoch: Count
+    owner: Optional[Name]
+    levels: Optional[list[Level]] = None
+
+
+class Denied(Row, frozen=True, array_like=True):
+    """A write that the store refused, and why."""
+    slice: int
+    epoch: int
+    reason: str
+
+
+class Message(msgspec.Struct, omit_defaults=True):
+    """A frame's body."""
+
+
+class Greet(Message):
+    """First word of the side that accepts: who it is, and a challenge for the secret's proof."""
+    deployment: str
+    role: str
+    id: str
+    challenge: bytes
+    minor: int = MINOR
+
+
+class Hello(Message):
+    """First word of the side that dials. `proof`: HMAC-SHA256 of challenge and id under the deployment's secret."""
+    deployment: str
+    role: str
+    id: str
+    zone: str = ""
+    proof: bytes = b""
+    minor: int = MINOR
+
+
+class Welcome(Message):
+    """The hello is taken. `session` numbers it; `lease` and `beat_every` are spans in us."""
+    session: int
+    lease: int = 0
+    beat_every: int = 0
+    report_every: int = 0
+    apply_cost: int = 0
+
+
+class Bye(Message):
+    """The last word before a close: a code and a reason for people."""
+    code: str
+    reason: str = ""
+
+
+class Ping(Message):
+    nonce: int = 0
+
+
+class Pong(Message):
+    nonce: int = 0
+
+
+class Snapshot(Message):
+    """All that the pilot has in its charge for this proxy: replaces what this pilot told before.
+
+    `slices` at sites with slices; `table` and `lines` at sites without. `levels` are those that stand for all."""
+    slices: list[Held] = []
+    table: int = -1
+    lines: list[Line] = []
+    levels: list[Level] = []
+
+
+class Order(Message):
+    """One turn's delta. `waited`: us that it lay in the pilot's channel; `seq` grows by one a message a session."""
+    seq: int
+    waited: int = 0
+    lines: list[Line] = []
+    levels: list[Level] = []
+    mark: Optional[int] = None
+
+
+class Charge(Message):
+    """Slices that came into this pilot's charge, as the store holds them, and slices that left it."""
+    given: list[Held] = []
+    taken: list[int] = []
+
+
+class Beat(Message):
+    """A proxy asks whether its lease may run on, counted from when it asked."""
+    n: int
+
+
+class BeatOk(Message):
+    """The pilot is still in charge."""
+    n: int
+
+
+class Ack(Message):
+    """The message with this mark, and all before it, is in force; `held`: us from then until this was sent."""
+    mark: Table
+    held: Count = 0
+
+
+class Sums(Message):
+    """What the proxy met and what came, since its last sums."""
+    met: list[Met] = []
+    heat: list[Heat] = []
+
+
+class Open(Message):
+    """A pilot asks the store for a session."""
+    place: int = 0
+
+
+class Opened(Message):
+    """The pilot's session at the store; it ends `lease` us after the pilot sent what the store answered last."""
+    session: int
+    lease: int
+
+
+class Renew(Message):
+    """A pilot asks the store to prolong its session, counted from when it asked."""
+    n: int
+
+
+class Renewed(Message):
+    n: int
+
+
+class Leave(Message):
+    """A pilot that stops gives its slices back, after it has told its proxies."""
+
+
+class Give(Message):
+    """Slices that the store puts into a pilot's charge."""
+    slices: list[Held]
+
+
+class Take(Message):
+    """Slices that the store takes back; the pilot answers Released once its proxies were told."""
+    slices: list[int]
+    number: int
+
+
+class Released(Message):
+    number: int
+
+
+class Commit(Message):
+    """Writes of one turn, under the epochs by which the pilot holds the slices."""
+    number: int
+    writes: list[Write]
+
+
+class Committed(Message):
+    """Durable, but for those denied."""
+    number: int
+    denied: list[Denied] = []
+
+
+class ReadTables(Message):
+    """A proxy asks the store for all slices."""
+    number: int = 0
+
+
+class Tables(Message):
+    number: int
+    slices: list[Held]
+
+
+KINDS: dict[int, type[Message]] = {
+    1: Greet, 2: Hello, 3: Welcome, 4: Bye, 5: Ping, 6: Pong,
+    16: Snapshot, 17: Order, 18: Charge, 19: Beat, 20: BeatOk, 21: Ack, 22: Sums,
+    32: Open, 33: Opened, 34: Give, 35: Take, 36: Released, 37: Commit, 38: Committed, 39: ReadTables, 40: Tables,
+    41: Renew, 42: Renewed, 43: Leave,
+}
+NUMBERS = {kind: number for number, kind in KINDS.items()}
--- /dev/null
+++ b/cedarshift/codec/session.py
@@ -0,0 +1,165 @@
+"""One session's states: who greets, who may say what, and when. Free of I/O.
+
+    accepts:  start() -> Greet      GREETED --Hello--> OPEN --Bye/error--> CLOSED
+    dials:                          WAITING --Greet--> HELLOED --Welcome--> OPEN --Bye/error--> CLOSED
+
+`receive` takes bytes and returns the messages that are the user's to handle; what the session itself has to say
+collects in `outbox`. A Ping is answered here.
+"""
+from __future__ import annotations
+
+import hashlib
+import hmac
+from typing import Callable, NamedTuple, Optional
+
+from cedarshift.codec import messages as m
+from cedarshift.codec.errors import OutOfOrder, PeerClosed, ProtocolError, Refused, TooManyMessages
+from cedarshift.codec.frames import FRAME_MOST, Frames, encode
+
+RATE_SPAN = 1_000_000     # us over which messages are counted
+ID_MOST = 128             # characters of an id; ids end up in logs and metrics
+
+WAITING, GREETED, HELLOED, OPEN, CLOSED = "waiting", "greeted", "helloed", "open", "closed"
+
+# Who may say what to whom once a session is open: (role of the sender, role of the receiver).
+SPOKEN: dict[tuple[str, str], tuple[type[m.Message], ...]] = {
+    ("proxy", "pilot"): (m.Beat, m.Ack, m.Sums),
+    ("pilot", "proxy"): (m.Snapshot, m.Order, m.Charge, m.BeatOk),
+    ("pilot", "store"): (m.Open, m.Renew, m.Released, m.Commit, m.Leave),
+    ("store", "pilot"): (m.Opened, m.Renewed, m.Give, m.Take, m.Committed),
+    ("proxy", "store"): (m.ReadTables,),
+    ("store", "proxy"): (m.Tables,),
+}
+
+
+class Badge(NamedTuple):
+    """How one side shows itself."""
+    deployment: str
+    role: str
+    id: str
+    zone: str = ""
+    secret: bytes = b""
+
+
+def proof(secret: bytes, challenge: bytes, name: str) -> bytes:
+    """HMAC-SHA256 (RFC 2104) over challenge and name; empty where the deployment has no secret."""
+    return hmac.new(secret, challenge + name.encode(), hashlib.sha256).digest() if secret else b""
+
+
+class Session:
+    """`admit(hello) -> Welcome` is asked by the accepting side; it raises Refused to turn a peer away.
+
+    `rate_most`: messages a second that the peer may send, 0 for no limit."""
+
+    def __init__(self, badge: Badge, admit: Optional[Callable[[m.Hello], m.Welcome]] = None, challenge: bytes = b"",
+                 rate_most: int = 0, frame_most: int = FRAME_MOST) -> None:
+        self.badge = badge
+        self.admit = admit
+        self.challenge = challenge
+        self.rate_most = rate_most
+        self.frames = Frames(frame_most)
+        self.state = WAITING
+        self.peer: Optional[Badge] = None
+        self.welcome: Optional[m.Welcome] = None
+        self.outbox: list[bytes] = []
+        self.rate_since = 0
+        self.rate_count = 0
+
+    def start(self) -> None:
+        """The accepting side greets."""
+        assert self.admit is not None and self.state == WAITING
+        self.state = GREETED
+        self._say(m.Greet(self.badge.deployment, self.badge.role, self.badge.id, self.challenge))
+
+    def receive(self, now: int, data: bytes) -> list[m.Message]:
+        """Raises a ProtocolError, after which the session is closed and `outbox` ends with the Bye."""
+        got: list[m.Message] = []
+        self.frames.feed(data)
+        try:
+            for message in self.frames.messages():
+                self._count(now)
+                self._take(message, got)
+        except ProtocolError as error:
+            self.close(error.code, str(error))
+            raise
+        return got
+
+    def send(self, message: m.Message) -> bytes:
+        """The frame of a message that the user says; asserts that the roles allow it."""
+        assert self.state == OPEN and self.peer is not None, f"{type(message).__name__} while {self.state}"
+        assert isinstance(message, SPOKEN[self.badge.role, self.peer.role] + (m.Ping,)), type(message).__name__
+        return encode(message)
+
+    def close(self, code: str, reason: str) -> None:
+        """Puts a Bye into the outbox and takes no more."""
+        if self.state != CLOSED:
+            self.state = CLOSED
+            self._say(m.Bye(code, reason[:400]))
+
+    def take_outbox(self) -> bytes:
+        out = b"".join(self.outbox)
+        self.outbox.clear()
+        return out
+
+    def _say(self, message: m.Message) -> None:
+        self.outbox.append(encode(message))
+
+    def _count(self, now: int) -> None:
+        """Guards against a peer that sends without end."""
+        if now - self.rate_since >= RATE_SPAN:
+            self.rate_since, self.rate_count = now, 0
+        self.rate_count += 1
+        if self.rate_most and self.rate_count > self.rate_most:
+            raise TooManyMessages(f"over {self.rate_most} messages a second")
+
+    def _take(self, message: m.Message, got: list[m.Message]) -> None:
+        if isinstance(message, m.Bye):
+            self.state = CLOSED
+            raise PeerClosed(f"{message.code}: {message.reason}")
+        if self.state == OPEN:
+            self._take_open(message, got)
+        elif self.state == GREETED and isinstance(message, m.Hello):
+            self._take_hello(message)
+        elif self.state == WAITING and isinstance(message, m.Greet):
+            self._take_greet(message)
+        elif self.state == HELLOED and isinstance(message, m.Welcome):
+            self.state, self.welcome = OPEN, message
+        else:
+            raise OutOfOrder(f"{type(message).__name__} while {self.state}")
+
+    def _take_open(self, message: m.Message, got: list[m.Message]) -> None:
+        assert self.peer is not None
+        if isinstance(message, m.Ping):
+            self._say(m.Pong(message.nonce))
+        elif isinstance(message, m.Pong):
+            pass
+        elif isinstance(message, SPOKEN.get((self.peer.role, self.badge.role), ())):
+            got.append(message)
+        else:
+            raise OutOfOrder(f"{type(message).__name__} from a {self.peer.role} to a {self.badge.role}")
+
+    def _take_hello(self, hello: m.Hello) -> None:
+        assert self.admit is not None
+        if hello.deployment != self.badge.deployment:
+            raise Refused(f"deployment {hello.deployment!r}, this is {self.badge.deployment!r}")
+        if not 0 < len(hello.id) <= ID_MOST or not hello.id.isprintable():
+            raise Refused(f"an id of {len(hello.id)} characters, 1 to {ID_MOST} printable ones are allowed")
+        if (hello.role, self.badge.role) not in SPOKEN:
+            raise Refused(f"role {hello.role!r} has nothing to say to a {self.badge.role}")
+        if not hmac.compare_digest(hello.proof, proof(self.badge.secret, self.challenge, hello.id)):
+            raise Refused("the proof of the deployment's secret is wrong")
+        welcome = self.admit(hello)
+        self.peer = Badge(hello.deployment, hello.role, hello.id, hello.zone)
+        self.state = OPEN
+        self._say(welcome)
+
+    def _take_greet(self, greet: m.Greet) -> None:
+        if greet.deployment != self.badge.deployment:
+            raise Refused(f"deployment {greet.deployment!r}, this is {self.badge.deployment!r}")
+        if (self.badge.role, greet.role) not in SPOKEN:
+            raise Refused(f"a {greet.role} answers, to which a {self.badge.role} has nothing to say")
+        self.peer = Badge(greet.deployment, greet.role, greet.id)
+        self.state = HELLOED
+        badge = self.badge
+        self._say(m.Hello(badge.deployment, badge.role, badge.id, badge.zone,
+                          proof(badge.secret, greet.challenge, badge.id)))
--- /dev/null
+++ b/cedarshift/deployment/deployment.py
@@ -0,0 +1,264 @@
+"""A deployment as the program uses it. All spans are whole microseconds."""
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from typing import Any, Optional
+
+from cedarshift.deployment import hcl
+from cedarshift.deployment.hcl import MUST, Checked, FileRefused, Problem, Shape
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True)
+class ServedOp:
+    """An op type. `repeats`: "retryable", "deduplicated" or "once-only"."""
+    name: str
+    target_latency: int
+    op_timeout: int
+    earnings: float
+    late_share: float
+    repeats: str
+    writes: bool
+    own_zone: bool
+
+
+@dataclass(frozen=True)
+class PilotPlace:
+    name: str
+    listen: Address
+    admin: Optional[Address]
+    zone: str
+
+
+@dataclass(frozen=True)
+class StorePlace:
+    listen: Address
+    path: str
+    embedded: bool
+    session_lease: int
+    takeover: int
+    back_after: int
+
+
+@dataclass(frozen=True)
+class ListSource:
+    """`service` or `file`, never both. `saved`: where a pilot keeps the newest list for its next start."""
+    service: Optional[Address]
+    file: str
+    saved: str
+    refresh: int
+    asks: bool
+    gone_binds: bool
+
+
+@dataclass(frozen=True)
+class Channel:
+    """The channel of one pilot."""
+    lines_per_s: float
+    lines_waiting_most: float
+    lines_per_message: float
+    messages_most: int
+    messages_span: int
+    transit_most: int
+
+
+@dataclass(frozen=True)
+class ProxyTerms:
+    """What every proxy of the deployment keeps to."""
+    lease: int
+    in_flight_most: int
+    buffer_for: int
+    connect_most: int
+    report_every: int
+    apply_cost: int
+    outlier_after: int
+    retry_default: int
+    silence: int
+
+
+@dataclass(frozen=True)
+class Guarantees:
+    """The figures of the rules."""
+    empty_for: int
+    drain_grace: int
+    ask_within: int
+    warm_within: int
+    cold_share: float
+    tip_multiple: float
+    tip_after: int
+
+
+@dataclass(frozen=True)
+class Deployment:
+    name: str
+    file: str
+    slices: int
+    zones: tuple[str, ...]
+    single_owner: bool
+    pick: str
+    levels: str
+    intake_per_s: float
+    proxies_most: int
+    secret: bytes
+    op_types: tuple[ServedOp, ...]
+    pilots: tuple[PilotPlace, ...]
+    store: Optional[StorePlace]
+    listed: ListSource
+    channel: Channel
+    proxy: ProxyTerms
+    rules: Guarantees
+
+    def beside(self, path: str) -> str:
+        """A path of the file, which counts from the folder that the file lies in."""
+        return os.path.join(os.path.dirname(self.file), path) if path else ""
+
+    def pilot(self, name: str) -> PilotPlace:
+        """Raises KeyError with the names that there are."""
+        for place in self.pilots:
+            if place.name == name:
+                return place
+        raise KeyError(f"no pilot {name!r} in {self.file}; there are {', '.join(p.name for p in self.pilots)}")
+
+
+OP_TYPE = Shape({
+    "target_latency": (hcl.span(1_000), MUST), "op_timeout": (hcl.span(1_000), MUST),
+    "earnings": (hcl.number(), 1.0), "late_share": (hcl.number(0, 1), 0.0),
+    "repeats": (hcl.choice("retryable", "deduplicated", "once-only"), MUST), "writes": (hcl.flag, False),
+    "own_zone": (hcl.flag, False)})
+PILOT = Shape({"listen": (hcl.address, MUST), "admin": (hcl.address, None), "zone": (hcl.text, "")})
+STORE = Shape({
+    "listen": (hcl.address, MUST), "path": (hcl.text, MUST), "embedded": (hcl.flag, False),
+    "session_lease": (hcl.span(100_000), 2_000_000), "takeover": (hcl.span(), 500_000),
+    "back_after": (hcl.span(), 3_000_000)})
+LIST = Shape({
+    "service": (hcl.address, None), "file": (hcl.text, ""), "saved": (hcl.text, ""),
+    "refresh": (hcl.span(10_000), 250_000), "asks": (hcl.flag, False), "gone_binds": (hcl.flag, True)})
+CHANNEL = Shape({
+    "lines_per_s": (hcl.number(1), 6_000.0), "lines_waiting_most": (hcl.number(1), 9_000.0),
+    "lines_per_message": (hcl.number(), 16.0), "messages_most": (hcl.whole(), 0),
+    "messages_span": (hcl.span(), 10_000_000), "transit_most": (hcl.span(), 250_000)})
+PROXY = Shape({
+    "lease": (hcl.span(50_000), 800_000), "in_flight_most": (hcl.span(1_000), MUST),
+    "buffer_for": (hcl.span(), 200_000), "connect_most": (hcl.span(1_000), 500_000),
+    "report_every": (hcl.span(50_000), 2_000_000), "apply_cost": (hcl.span(), 0),
+    "outlier_after": (hcl.whole(), 3), "retry_default": (hcl.whole(0, 3), 0),
+    "silence": (hcl.span(500_000), 4_000_000)})
+RULES = Shape({
+    "empty_for": (hcl.span(), 12_000_000), "drain_grace": (hcl.span(100_000), 3_000_000),
+    "ask_within": (hcl.span(), 10_000_000), "warm_within": (hcl.span(), 15_000_000),
+    "cold_share": (hcl.number(0.01, 1), 1.0), "tip_multiple": (hcl.number(1), 3.0),
+    "tip_after": (hcl.span(), 1_500_000)})
+DEPLOYMENT = Shape({
+    "slices": (hcl.whole(0, 60_000), MUST), "zones": (hcl.texts, []), "single_owner": (hcl.flag, True),
+    "pick": (hcl.choice("even", "chance"), "even"), "levels": (hcl.choice("fraction", "none"), "fraction"),
+    "intake_per_s": (hcl.number(1), 150.0), "proxies_most": (hcl.whole(1), 1_000), "secret_file": (hcl.text, "")},
+    {"op_type": (OP_TYPE, 1, 1, 64), "pilot": (PILOT, 1, 1, 64), "store": (STORE, 0, 0, 1), "list": (LIST, 0, 1, 1),
+     "channel": (CHANNEL, 0, 0, 1), "proxy": (PROXY, 0, 1, 1), "rules": (RULES, 0, 0, 1)})
+FILE = Shape({}, {"deployment": (DEPLOYMENT, 1, 1, 1)})
+
+
+def load(path: str) -> Deployment:
+    """Reads and checks a deployment file. Raises FileRefused with every problem, OSError if it can't be read."""
+    with open(path, encoding="utf-8") as source:
+        top = hcl.parse(source.read(), path)
+    problems: list[Problem] = []
+    found = hcl.check(top, FILE, path, problems)
+    made = None
+    if found.blocks["deployment"] and not problems:
+        made = _build(found.blocks["deployment"][0], path, problems)
+    if problems or made is None:
+        raise FileRefused(problems)
+    return made
+
+
+def _only(body: Checked, kind: str, shape: Shape) -> Checked:
+    got = body.blocks[kind]
+    return got[0] if got else Checked([], body.line, {n: d for n, (_, d) in shape.attributes.items()}, {}, {})
+
+
+def _build(body: Checked, path: str, problems: list[Problem]) -> Deployment:
+    ops = tuple(ServedOp(name=op.labels[0], **op.values) for op in body.blocks["op_type"])
+    pilots = tuple(PilotPlace(name=p.labels[0], **p.values) for p in body.blocks["pilot"])
+    store = StorePlace(**body.blocks["store"][0].values) if body.blocks["store"] else None
+    rules = Guarantees(**_only(body, "rules", RULES).values)
+    proxy = ProxyTerms(**body.blocks["proxy"][0].values)
+    secret = _secret(body, path, problems)
+    _agree(body, ops, pilots, store, rules, proxy, path, problems)
+    return Deployment(
+        name=body.labels[0], file=path, slices=body["slices"], zones=tuple(body["zones"]),
+        single_owner=body["single_owner"] and body["slices"] > 0, pick=body["pick"], levels=body["levels"],
+        intake_per_s=body["intake_per_s"], proxies_most=body["proxies_most"], secret=secret, op_types=ops,
+        pilots=pilots, store=store, listed=ListSource(**body.blocks["list"][0].values),
+        channel=Channel(**_only(body, "channel", CHANNEL).values), proxy=proxy, rules=rules)
+
+
+def _secret(body: Checked, path: str, problems: list[Problem]) -> bytes:
+    """The first line of the secret's file, which lies beside the deployment file unless its path is absolute."""
+    if not body["secret_file"]:
+        return b""
+    place = os.path.join(os.path.dirname(path), body["secret_file"])
+    try:
+        with open(place, "rb") as source:
+            secret = source.readline().strip()
+    except OSError as error:
+        problems.append(Problem(path, body.lines["secret_file"], f"secret_file {place}: {error.strerror}"))
+        return b""
+    if len(secret) < 16:
+        problems.append(Problem(path, body.lines["secret_file"], f"secret_file {place}: {len(secret)} bytes, 16 at least"))
+    return secret
+
+
+def _agree(body: Checked, ops: tuple[ServedOp, ...], pilots: tuple[PilotPlace, ...], store: Optional[StorePlace],
+           rules: Guarantees, proxy: ProxyTerms, path: str, problems: list[Problem]) -> None:
+    """What is well formed in itself and yet does not fit together."""
+    def wrong(line: int, what: str) -> None:
+        problems.append(Problem(path, line, what))
+
+    for op, block in zip(ops, body.blocks["op_type"]):
+        if op.op_timeout < op.target_latency:
+            wrong(block.lines["op_timeout"], f"op_timeout is under the target_latency of {op.name!r}")
+        if op.writes and body["single_owner"] and body["slices"] and proxy.in_flight_most < op.op_timeout:
+            wrong(body.blocks["proxy"][0].lines["in_flight_most"],
+                  f"in_flight_most is under the op_timeout of {op.name!r}, which writes: a write may outlast it")
+    listed = body.blocks["list"][0]
+    if bool(listed["service"]) == bool(listed["file"]):
+        wrong(listed.line, "a list has either service or file")
+    if body["slices"] and store is None:
+        wrong(body.line, "a deployment with slices needs a block store")
+    if store is not None and store.embedded and len(pilots) > 1:
+        wrong(body.blocks["store"][0].lines["embedded"], f"an embedded store serves one pilot, there are {len(pilots)}")
+    if store is not None and store.session_lease < 2 * proxy.lease // 4:
+        wrong(body.blocks["store"][0].lines["session_lease"], "session_lease is under half a proxy's lease")
+    if rules.drain_grace <= proxy.connect_most + body_transit(body):
+        wrong(body.line, "drain_grace does not exceed connect_most and transit_most together: no drain could be kept")
+    zones = set(body["zones"])
+    for place, block in zip(pilots, body.blocks["pilot"]):
+        if place.zone and place.zone not in zones:
+            wrong(block.lines["zone"], f"zone {place.zone!r} is none of {', '.join(sorted(zones)) or 'the zones (none)'}")
+    doors: dict[Address, str] = {}
+    doors_wanted: list[tuple[Optional[Address], str, int]] = []
+    for place, block in zip(pilots, body.blocks["pilot"]):
+        doors_wanted += [(place.listen, f"pilot {place.name}", block.line), (place.admin, f"admin of {place.name}", block.line)]
+    if store is not None:
+        doors_wanted.append((store.listen, "store", body.blocks["store"][0].line))
+    for door, who, line in doors_wanted:
+        if door is not None and door[1]:
+            if door in doors:
+                wrong(line, f"{door[0]}:{door[1]} is the address of {doors[door]} and of {who}")
+            doors[door] = who
+
+
+def body_transit(body: Checked) -> int:
+    return _only(body, "channel", CHANNEL)["transit_most"]
+
+
+def changes(old: Deployment, new: Deployment) -> tuple[list[str], list[str]]:
+    """What differs: (what a running pilot may take over, what it must refuse), by name."""
+    may = {"intake_per_s", "proxies_most", "listed"}
+    differing = [name for name in old.__dataclass_fields__ if name != "file" and getattr(old, name) != getattr(new, name)]
+    return [name for name in differing if name in may], [name for name in differing if name not in may]
+
+
+__all__ = ["Any", "Deployment", "FileRefused", "changes", "load"]
--- /dev/null
+++ b/cedarshift/loop/core.py
@@ -0,0 +1,233 @@
+"""The scheduler: tasks, timers, and the hand-in points for clock and network.
+
+A coroutine is a generator that suspends itself with a bare `yield`, always through `Loop.park`. Times are whole
+microseconds of the clock handed in, which only has to be monotonic: `clock.now() -> int`. The network is asked once a
+pass to wait: `network.poll(wait)`, with `wait` in microseconds or None, and calls back whatever became ready.
+"""
+from __future__ import annotations
+
+import heapq
+import traceback
+from collections import deque
+from typing import Any, Callable, Generator, Optional, Protocol
+
+SLOW_STEP = 50_000      # us; a step longer than this holds up every other session and is reported
+BREATH = 64             # ready tasks run between two looks at the network, so that input is never starved
+
+Coroutine = Generator[None, Any, Any]
+
+
+class Clock(Protocol):
+    def now(self) -> int: ...
+
+
+class Network(Protocol):
+    def poll(self, wait: Optional[int]) -> None: ...
+    def listen(self, address: tuple[str, int]) -> Any: ...
+    def dial(self, address: tuple[str, int]) -> Any: ...
+
+
+class Cancelled(Exception):
+    """Raised inside a task that was cancelled."""
+
+
+class TimedOut(Exception):
+    """A wait reached its limit."""
+
+
+class Timer:
+    """A call that is due at a time; `cancel` forgets it."""
+
+    __slots__ = ("at", "call", "args")
+
+    def __init__(self, at: int, call: Callable[..., None], args: tuple) -> None:
+        self.at = at
+        self.call: Optional[Callable[..., None]] = call
+        self.args = args
+
+    def cancel(self) -> None:
+        self.call = None
+        self.args = ()
+
+
+class Waker:
+    """Wakes one park of one task, at most once; later calls and calls after another wake do nothing."""
+
+    __slots__ = ("task", "ticket")
+
+    def __init__(self, task: Task, ticket: int) -> None:
+        self.task = task
+        self.ticket = ticket
+
+    def wake(self, value: Any = None) -> None:
+        task = self.task
+        if task.ticket == self.ticket and not task.done:
+            task.ticket += 1
+            task.loop.ready.append((task, value, None))
+
+    def fail(self, error: BaseException) -> None:
+        task = self.task
+        if task.ticket == self.ticket and not task.done:
+            task.ticket += 1
+            task.loop.ready.append((task, None, error))
+
+
+class Task:
+    """A running coroutine. `ticket` grows with each wake, so that a stale waker is told from a live one."""
+
+    __slots__ = ("loop", "name", "run", "ticket", "done", "result", "error", "waiting")
+
+    def __init__(self, loop: Loop, run: Coroutine, name: str) -> None:
+        self.loop = loop
+        self.name = name
+        self.run = run
+        self.ticket = 0
+        self.done = False
+        self.result: Any = None
+        self.error: Optional[BaseException] = None
+        self.waiting: list[Waker] = []
+
+    def cancel(self) -> None:
+        """Raises Cancelled inside the task at its next step; a task that has ended is left alone."""
+        if not self.done:
+            self.ticket += 1
+            self.loop.ready.append((self, None, Cancelled(self.name)))
+
+    def join(self) -> Coroutine:
+        """Waits for the end; returns the result or raises the error."""
+        while not self.done:
+            self.waiting.append(self.loop.waker())
+            yield
+        if self.error is not None:
+            raise self.error
+        return self.result
+
+
+class Loop:
+    """One thread's scheduler. `report(event, **fields)` hears of failed tasks and of slow steps."""
+
+    def __init__(self, clock: Clock, network: Network, report: Optional[Callable[..., None]] = None) -> None:
+        self.clock = clock
+        self.network = network
+        self.report = report or (lambda event, **fields: None)
+        self.ready: deque[tuple[Task, Any, Optional[BaseException]]] = deque()
+        self.timers: list[tuple[int, int, Timer]] = []
+        self.drawn = 0                      # numbers timers, so that those due together run in the order set
+        self.current: Optional[Task] = None
+        self.tasks: set[Task] = set()
+        self.stopping = False
+        self.slowest = 0                    # us; the longest step so far
+
+    def now(self) -> int:
+        return self.clock.now()
+
+    # ---- tasks
+
+    def spawn(self, run: Coroutine, name: str) -> Task:
+        task = Task(self, run, name)
+        self.tasks.add(task)
+        self.ready.append((task, None, None))
+        return task
+
+    def waker(self) -> Waker:
+        """For the task that runs now; it must `yield` next."""
+        assert self.current is not None, "only a running task can park"
+        return Waker(self.current, self.current.ticket)
+
+    def park(self, until: Optional[int] = None) -> Coroutine:
+        """Suspends until a waker made beforehand fires; raises TimedOut at `until` (us on the loop's clock)."""
+        if until is None:
+            return (yield)
+        timer = self.at(until, self.waker().fail, TimedOut())
+        try:
+            return (yield)
+        finally:
+            timer.cancel()
+
+    def sleep(self, span: int) -> Coroutine:
+        """Suspends for `span` microseconds."""
+        timer = self.at(self.now() + max(0, span), self.waker().wake)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+    def breathe(self) -> Coroutine:
+        """Lets every other ready task and the network run once."""
+        self.waker().wake()
+        yield
+
+    # ---- timers
+
+    def at(self, when: int, call: Callable[..., None], *args: Any) -> Timer:
+        timer = Timer(when, call, args)
+        self.drawn += 1
+        heapq.heappush(self.timers, (when, self.drawn, timer))
+        return timer
+
+    def _run_timers(self) -> None:
+        now = self.now()
+        while self.timers and (self.timers[0][0] <= now or self.timers[0][2].call is None):
+            timer = heapq.heappop(self.timers)[2]
+            if timer.call is not None:
+                timer.call(*timer.args)
+
+    # ---- running
+
+    def run(self, main: Optional[Task] = None) -> Any:
+        """Runs until `main` has ended, or `stop` was called, or nothing is left to do."""
+        while not self.stopping and not (main is not None and main.done):
+            self._run_timers()
+            for _ in range(min(BREATH, len(self.ready))):
+                self._step(*self.ready.popleft())
+            if self.stopping or (main is not None and main.done):
+                break
+            if not self.tasks and not self.timers:
+                break
+            wait: Optional[int] = None
+            if self.ready:
+                wait = 0
+            elif self.timers:
+                wait = max(0, self.timers[0][0] - self.now())
+            self.network.poll(wait)
+        if main is not None and main.error is not None:
+            raise main.error
+        return main.result if main is not None else None
+
+    def stop(self) -> None:
+        self.stopping = True
+
+    def _step(self, task: Task, value: Any, error: Optional[BaseException]) -> None:
+        if task.done:
+            return
+        self.current = task
+        begun = self.now()
+        try:
+            if error is None:
+                task.run.send(value)
+            else:
+                task.run.throw(error)
+        except StopIteration as end:
+            task.result = end.value
+            self._end(task)
+        except Cancelled as gone:
+            task.error = gone
+            self._end(task)
+        except Exception as failure:         # ends its own session and harms no other
+            task.error = failure
+            self.report("task_failed", task=task.name, error=repr(failure), traceback=traceback.format_exc())
+            self._end(task)
+        finally:
+            self.current = None
+            took = self.now() - begun
+            if took > self.slowest:
+                self.slowest = took
+            if took > SLOW_STEP:
+                self.report("slow_step", task=task.name, took_ms=took // 1000)
+
+    def _end(self, task: Task) -> None:
+        task.done = True
+        self.tasks.discard(task)
+        for waker in task.waiting:
+            waker.wake()
+        task.waiting = []
--- /dev/null
+++ b/cedarshift/loop/memory.py
@@ -0,0 +1,190 @@
+"""A network and a clock that live in memory: time passes only when every task waits. One process, no sockets.
+
+The pipes delay by a stated time, hold a bounded number of bytes and can be cut; the groundwork for runs on a virtual
+clock, and the proof that nothing above the loop needs a real one.
+"""
+from __future__ import annotations
+
+import errno
+import heapq
+from collections import deque
+from typing import Any, Callable, Optional
+
+HOLDS = 65_536            # bytes on the way in one direction, as in a small socket buffer
+
+
+class VirtualClock:
+    def __init__(self, start: int = 1_000_000) -> None:
+        self.time = start
+
+    def now(self) -> int:
+        return self.time
+
+
+class MemoryNetwork:
+    """`delay(source, target)` gives the microseconds of one way; `refuse` holds addresses that do not answer."""
+
+    def __init__(self, clock: VirtualClock, delay: Optional[Callable[[], int]] = None) -> None:
+        self.clock = clock
+        self.delay = delay or (lambda: 100)
+        self.doors: dict[tuple[str, int], MemoryDoor] = {}
+        self.refuse: set[tuple[str, int]] = set()
+        self.due: list[tuple[int, int, Callable[[], None]]] = []
+        self.drawn = 0
+        self.next_port = 40_000
+
+    def later(self, span: int, call: Callable[[], None]) -> int:
+        self.drawn += 1
+        at = self.clock.time + span
+        heapq.heappush(self.due, (at, self.drawn, call))
+        return at
+
+    def poll(self, wait: Optional[int]) -> None:
+        limit = None if wait is None else self.clock.time + wait
+        if self.due and (limit is None or self.due[0][0] <= limit):
+            self.clock.time = max(self.clock.time, self.due[0][0])
+            while self.due and self.due[0][0] <= self.clock.time:
+                heapq.heappop(self.due)[2]()
+        elif limit is None:
+            raise RuntimeError("every task waits, and nothing is due: the program hangs")
+        else:
+            self.clock.time = limit
+
+    def listen(self, address: tuple[str, int]) -> MemoryDoor:
+        host, port = address
+        if not port:
+            self.next_port += 1
+            port = self.next_port
+        if (host, port) in self.doors:
+            raise OSError(errno.EADDRINUSE, f"{host}:{port}: address already in use")
+        door = self.doors[host, port] = MemoryDoor(self, (host, port))
+        return door
+
+    def dial(self, address: tuple[str, int]) -> MemoryAttempt:
+        return MemoryAttempt(self, address)
+
+
+class MemoryPipe:
+    def __init__(self, network: MemoryNetwork) -> None:
+        self.network = network
+        self.peer: Optional[MemoryPipe] = None
+        self.inbox: deque[bytes] = deque()
+        self.held = 0                        # bytes sent to this side and not read yet
+        self.arrives = 0                     # when the newest of them does: streams keep their order
+        self.call: Optional[Callable[[bool, bool], None]] = None
+        self.finished = False                # the other side will send no more
+        self.reset = False
+        self.closed = False
+
+    def watch(self, call: Callable[[bool, bool], None]) -> None:
+        self.call = call
+
+    def recv(self, most: int) -> Optional[bytes]:
+        if self.reset:
+            raise OSError(errno.ECONNRESET, "connection reset")
+        if not self.inbox:
+            return b"" if self.finished else None
+        data = self.inbox.popleft()
+        if len(data) > most:
+            self.inbox.appendleft(data[most:])
+            data = data[:most]
+        full = self.held >= HOLDS
+        self.held -= len(data)
+        peer = self.peer
+        if full and peer is not None:
+            self.network.later(0, lambda: peer._tell(False, True))
+        return data
+
+    def send(self, view: Any) -> int:
+        if self.reset:
+            raise OSError(errno.ECONNRESET, "connection reset")
+        peer = self.peer
+        if peer is None or peer.closed:
+            raise OSError(errno.EPIPE, "broken pipe")
+        data = bytes(view[:max(0, HOLDS - peer.held)])
+        if data:
+            peer.held += len(data)
+            self._reach(peer, lambda: peer._arrive(data))
+        return len(data)
+
+    def _reach(self, peer: MemoryPipe, call: Callable[[], None]) -> None:
+        at = max(peer.arrives, self.network.clock.time + self.network.delay())
+        peer.arrives = self.network.later(at - self.network.clock.time, call)
+
+    def _arrive(self, data: bytes) -> None:
+        if not self.closed:
+            self.inbox.append(data)
+            self._tell(True, False)
+
+    def _tell(self, readable: bool, writable: bool) -> None:
+        if self.call is not None and not self.closed:
+            self.call(readable, writable)
+
+    def _finish(self) -> None:
+        self.finished = True
+        self._tell(True, False)
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            if self.peer is not None:
+                self._reach(self.peer, self.peer._finish)
+
+    def cut(self) -> None:
+        """Resets both sides at once; what was on the way is lost."""
+        for side in (self, self.peer):
+            if side is not None:
+                side.reset = True
+                side._tell(True, True)
+
+
+class MemoryDoor:
+    def __init__(self, network: MemoryNetwork, address: tuple[str, int]) -> None:
+        self.network = network
+        self.address = address
+        self.queue: deque[MemoryPipe] = deque()
+        self.call: Optional[Callable[[bool, bool], None]] = None
+
+    def accept(self) -> Optional[tuple[MemoryPipe, str]]:
+        return (self.queue.popleft(), "memory") if self.queue else None
+
+    def watch(self, call: Callable[[bool, bool], None]) -> None:
+        self.call = call
+
+    def close(self) -> None:
+        self.network.doors.pop(self.address, None)
+
+
+class MemoryAttempt:
+    def __init__(self, network: MemoryNetwork, address: tuple[str, int]) -> None:
+        self.network = network
+        self.address = address
+        self.pipe: Optional[MemoryPipe] = None
+        self.failed = False
+        self.call: Optional[Callable[[bool, bool], None]] = None
+        network.later(network.delay(), self._reach)
+
+    def _reach(self) -> None:
+        door = self.network.doors.get(self.address)
+        if door is None or self.address in self.network.refuse:
+            self.failed = True
+        else:
+            near, far = MemoryPipe(self.network), MemoryPipe(self.network)
+            near.peer, far.peer = far, near
+            self.pipe = near
+            door.queue.append(far)
+            if door.call is not None:
+                door.call(True, False)
+        if self.call is not None:
+            self.call(False, True)
+
+    def poll(self) -> Optional[MemoryPipe]:
+        if self.failed:
+            raise OSError(errno.ECONNREFUSED, "connection refused")
+        return self.pipe
+
+    def watch(self, call: Callable[[bool, bool], None]) -> None:
+        self.call = call
+
+    def close(self) -> None:
+        self.call = None
--- /dev/null
+++ b/cedarshift/loop/stream.py
@@ -0,0 +1,257 @@
+"""Byte streams with limits, over whatever pipes the network hands out.
+
+A pipe is non-blocking: `recv(most) -> bytes | None` (None: nothing now; b"": the peer has finished), `send(view) ->
+int` (0: no room now), `close()`, `watch(call)` where `call(readable, writable)` tells of edges. Readiness is told by
+edges, once a change; the stream remembers it and asks the pipe until it says "nothing now".
+"""
+from __future__ import annotations
+
+from collections import deque
+from typing import Any, Callable, Optional, Protocol
+
+from cedarshift.loop.core import Coroutine, Loop, TimedOut, Waker
+
+READ_AT_ONCE = 65_536     # bytes taken from a pipe at a time
+READS_A_STEP = 4          # reads without a pause; a peer that always has more must not hold the loop
+WRITE_MOST = 1 << 20      # bytes that may wait to be written before the stream counts as stalled
+DIAL_TIMEOUT = 1_000_000  # us
+
+
+class StreamBroken(Exception):
+    """The stream has ended in a way that the reader or writer did not ask for."""
+
+
+class BufferFull(StreamBroken):
+    """The peer reads too slowly: more would have to wait than the stream's limit."""
+
+
+class Pipe(Protocol):
+    def recv(self, most: int) -> Optional[bytes]: ...
+    def send(self, view: Any) -> int: ...
+    def close(self) -> None: ...
+    def watch(self, call: Callable[[bool, bool], None]) -> None: ...
+
+
+class Stream:
+    """One connection. At most one task reads and one drains at a time."""
+
+    def __init__(self, loop: Loop, pipe: Pipe, peer: str = "", write_most: int = WRITE_MOST) -> None:
+        self.loop = loop
+        self.pipe = pipe
+        self.peer = peer
+        self.write_most = write_most
+        self.pending = 0                     # bytes that wait to be written
+        self.closed = False
+        self.chunks: deque[memoryview] = deque()
+        self.readable = True                 # until the pipe says otherwise
+        self.writable = True
+        self.ended: Optional[StreamBroken] = None
+        self.reader: Optional[Waker] = None
+        self.drainer: Optional[Waker] = None
+        self.reads = 0
+        self.finishing = False
+        pipe.watch(self._ready)
+
+    # ---- reading
+
+    def read(self, until: Optional[int] = None) -> Coroutine:
+        """The next bytes; b"" once the peer has finished. Raises TimedOut at `until`, StreamBroken on a reset."""
+        self.reads += 1
+        if self.reads > READS_A_STEP:
+            self.reads = 0
+            yield from self.loop.breathe()
+        while True:
+            if self.closed:
+                raise self.ended or StreamBroken("closed on this side")
+            if self.readable:
+                try:
+                    data = self.pipe.recv(READ_AT_ONCE)
+                except OSError as error:
+                    broken = StreamBroken(str(error))
+                    self._break(broken)
+                    raise broken from None
+                if data is not None:
+                    return data
+                self.readable = False
+            self.reads = 0
+            self.reader = self.loop.waker()
+            try:
+                yield from self.loop.park(until)
+            finally:
+                self.reader = None
+
+    # ---- writing
+
+    def write(self, data: bytes) -> None:
+        """Sends what the pipe takes and keeps the rest. Raises BufferFull, and closes, past the limit."""
+        if self.closed:
+            raise self.ended or StreamBroken("closed on this side")
+        view = memoryview(data)
+        if not self.chunks and self.writable:
+            view = view[self._push(view):]
+        if self.ended is not None:
+            raise self.ended
+        if view:
+            self.chunks.append(view)
+            self.pending += len(view)
+            if self.pending > self.write_most:
+                full = BufferFull(f"{self.pending} bytes wait for {self.peer}, {self.write_most} at most")
+                self._break(full)
+                raise full
+
+    def _push(self, view: memoryview) -> int:
+        try:
+            sent = self.pipe.send(view)
+        except OSError as error:
+            self._break(StreamBroken(str(error)))
+            return 0
+        if sent < len(view):
+            self.writable = False
+        return sent
+
+    def drain(self, below: int = 0, until: Optional[int] = None) -> Coroutine:
+        """Waits until no more than `below` bytes wait to be written."""
+        while self.pending > below:
+            if self.closed:
+                raise self.ended or StreamBroken("closed on this side")
+            self.drainer = self.loop.waker()
+            try:
+                yield from self.loop.park(until)
+            finally:
+                self.drainer = None
+
+    # ---- ending
+
+    def close(self) -> None:
+        """Closes at once; what still waits to be written is lost."""
+        if not self.closed:
+            self.closed = True
+            self.chunks.clear()
+            self.pending = 0
+            self.pipe.close()
+            for waker in (self.reader, self.drainer):
+                if waker is not None:
+                    waker.wake()
+
+    def finish(self, within: int) -> None:
+        """Closes once everything is written, or after `within` microseconds."""
+        if self.closed or not self.pending:
+            self.close()
+            return
+        self.finishing = True
+        self.loop.at(self.loop.now() + within, self.close)
+
+    def _break(self, error: StreamBroken) -> None:
+        if self.ended is None:
+            self.ended = error
+        self.close()
+
+    def _ready(self, readable: bool, writable: bool) -> None:
+        if self.closed:
+            return
+        if readable:
+            self.readable = True
+            if self.reader is not None:
+                self.reader.wake()
+        if writable:
+            self.writable = True
+            while self.chunks and self.writable:
+                view = self.chunks[0]
+                sent = self._push(view)
+                if self.closed:
+                    return
+                self.pending -= sent
+                if sent == len(view):
+                    self.chunks.popleft()
+                else:
+                    self.chunks[0] = view[sent:]
+            if self.drainer is not None:
+                self.drainer.wake()
+            if self.finishing and not self.pending:
+                self.close()
+
+
+class Listener:
+    """Accepts streams; beyond `most` open ones a newcomer is closed at once, so that the others keep their share."""
+
+    def __init__(self, loop: Loop, door: Any, most: int, write_most: int) -> None:
+        self.loop = loop
+        self.door = door
+        self.most = most
+        self.write_most = write_most
+        self.open: set[Stream] = set()
+        self.turned_away = 0
+        self.waiting: Optional[Waker] = None
+        self.closed = False
+        door.watch(self._ready)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.door.address
+
+    def accept(self) -> Coroutine:
+        """The next stream."""
+        while True:
+            if self.closed:
+                raise StreamBroken("the listener was closed")
+            got = self.door.accept()
+            if got is None:
+                self.waiting = self.loop.waker()
+                try:
+                    yield
+                finally:
+                    self.waiting = None
+                continue
+            pipe, peer = got
+            self.open = {stream for stream in self.open if not stream.closed}
+            if len(self.open) >= self.most:
+                self.turned_away += 1
+                pipe.close()
+                continue
+            stream = Stream(self.loop, pipe, peer, self.write_most)
+            self.open.add(stream)
+            return stream
+
+    def _ready(self, readable: bool, writable: bool) -> None:
+        if self.waiting is not None:
+            self.waiting.wake()
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.door.close()
+            self._ready(True, False)
+
+
+def listen(loop: Loop, address: tuple[str, int], most: int = 4096, write_most: int = WRITE_MOST) -> Listener:
+    """Opens a listener at an address; port 0 takes any. Raises OSError where the address is taken."""
+    return Listener(loop, loop.network.listen(address), most, write_most)
+
+
+def dial(loop: Loop, address: tuple[str, int], timeout: int = DIAL_TIMEOUT,
+         write_most: int = WRITE_MOST) -> Coroutine:
+    """Connects; raises StreamBroken where nobody answers or the connect takes longer than `timeout` (us)."""
+    peer = f"{address[0]}:{address[1]}"
+    try:
+        attempt = loop.network.dial(address)
+    except OSError as error:
+        raise StreamBroken(f"{peer}: {error}") from None
+    until = loop.now() + timeout
+    while True:
+        try:
+            pipe = attempt.poll()
+        except OSError as error:
+            attempt.close()
+            raise StreamBroken(f"{peer}: {error}") from None
+        if pipe is not None:
+            return Stream(loop, pipe, peer, write_most)
+        waker = loop.waker()
+        attempt.watch(lambda readable, writable: waker.wake())
+        try:
+            yield from loop.park(until)
+        except TimedOut:
+            attempt.close()
+            raise StreamBroken(f"{peer}: no answer within {timeout // 1000} ms") from None
+        except BaseException:
+            attempt.close()
+            raise
--- /dev/null
+++ b/cedarshift/pilot/admin.py
@@ -0,0 +1,55 @@
+"""The pilot's page for people and for a metrics collector: /health, /metrics, /tables. Plain HTTP, loopback by default."""
+from __future__ import annotations
+
+import resource
+from typing import Callable
+
+import msgspec
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+from cedarshift.loop.core import Coroutine
+from cedarshift.pilot.service import PilotService
+from cedarshift.web import Answer, Asked
+
+
+class Figures:
+    """Read from the pilot when asked; nothing is counted twice."""
+
+    def __init__(self, service: PilotService) -> None:
+        self.service = service
+
+    def collect(self):  # type: ignore[no-untyped-def]
+        s = self.service
+        for name, count in s.counts.items():
+            yield CounterMetricFamily(f"cedarshift_{name}", f"{name} since the start", value=count)
+        acks = sorted(s.in_force_us)
+        gauges: dict[str, float] = {
+            "proxies_joined": len(s.proxies), "slices_in_charge": len(s.slices), "endpoints_listed": len(s.listed),
+            "channel_lines_waiting": s.channel.waiting, "channel_lines_peak": s.channel.peak,
+            "channel_breaches": s.channel.breaches, "intake_lines_waiting": s.intake.lines_waiting(),
+            "in_charge": float(s.store.in_charge()) if s.store else 1.0,
+            "slowest_step_seconds": s.loop.slowest / 1e6,
+            "in_force_seconds_p50": acks[len(acks) // 2] / 1e6 if acks else 0.0,
+            "in_force_seconds_p99": acks[len(acks) * 99 // 100] / 1e6 if acks else 0.0,
+            "cpu_seconds": resource.getrusage(resource.RUSAGE_SELF).ru_utime
+            + resource.getrusage(resource.RUSAGE_SELF).ru_stime,
+            "memory_peak_bytes": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024.0}
+        for name, value in gauges.items():
+            yield GaugeMetricFamily(f"cedarshift_{name}", name.replace("_", " "), value=value)
+
+
+def admin_page(service: PilotService) -> Callable[[Asked], Coroutine]:
+    registry = CollectorRegistry()
+    registry.register(Figures(service))  # type: ignore[arg-type]
+
+    def answer(asked: Asked) -> Coroutine:
+        yield from service.loop.breathe()
+        if asked.target == "/health":
+            return Answer(200, b"ok\n" if service.listed else b"ok, no list yet\n")
+        if asked.target == "/metrics":
+            return Answer(200, generate_latest(registry), (("content-type", "text/plain; version=0.0.4"),))
+        if asked.target == "/tables":
+            return Answer(200, msgspec.json.encode(service.shown()), (("content-type", "application/json"),))
+        return Answer(404, b"/health, /metrics and /tables are served\n")
+    return answer
--- /dev/null
+++ b/cedarshift/pilot/store_client.py
@@ -0,0 +1,150 @@
+"""The pilot's session at the store: opened, renewed, lost; commits in order.
+
+The session counts as standing until `lease` after the *asking* of the newest renewal that was answered; the store
+counts from when it heard, which is later. So the pilot stops first.
+"""
+from __future__ import annotations
+
+from typing import Callable, Optional, Protocol
+
+from cedarshift.codec import Badge, ProtocolError, Session
+from cedarshift.codec import messages as m
+from cedarshift.link import Link, connect
+from cedarshift.loop import Loop, StreamBroken, TimedOut
+from cedarshift.loop.core import Coroutine
+
+DIAL_TIMEOUT = 1_000_000      # us
+REDIAL = 100_000              # us between two tries; the store is one process, nearby
+RENEWALS = 4                  # renewals in a lease, so that three may be lost
+
+Then = Callable[[list[m.Denied]], None]
+
+
+class Charged(Protocol):
+    """Who is told."""
+
+    def on_store_given(self, rows: list[m.Held]) -> None: ...
+    def on_store_taken(self, slices: list[int]) -> None: ...
+    def on_store_lost(self) -> None: ...
+
+
+class StoreClient:
+    def __init__(self, loop: Loop, address: tuple[str, int], badge: Badge, place: int, told: Charged,
+                 report: Callable[..., None]) -> None:
+        self.loop = loop
+        self.address = address
+        self.badge = badge
+        self.place = place
+        self.told = told
+        self.report = report
+        self.link: Optional[Link] = None
+        self.valid_until = 0
+        self.lease = 0
+        self.asked: dict[int, int] = {}
+        self.drawn = 0
+        self.waiting: dict[int, Then] = {}
+        self.lapsed = True                   # the slices were given up, or none was ever had
+        self.task = loop.spawn(self._follow(), "store session")
+
+    def in_charge(self) -> bool:
+        """Whether nobody else can have been given this pilot's slices yet."""
+        return self.loop.now() < self.valid_until
+
+    def commit(self, writes: list[m.Write], then: Then) -> bool:
+        """Sends writes; `then(denied)` follows in order. False where there is no store now: it is not sent."""
+        if self.link is None or not self.in_charge():
+            return False
+        self.drawn += 1
+        self.waiting[self.drawn] = then
+        self.link.send(m.Commit(self.drawn, writes))
+        return True
+
+    def stop(self) -> None:
+        """Gives the slices back; the proxies must have been told before."""
+        self.task.cancel()
+        self._give_up()
+        if self.link is not None:
+            self.link.send(m.Leave())
+            self.link.close("stopping", "the pilot stops")
+
+    # ---- the session
+
+    def _follow(self) -> Coroutine:
+        while True:
+            try:
+                link, first = yield from connect(self.loop, self.address, Session(self.badge), DIAL_TIMEOUT)
+                yield from self._talk(link, first)
+            except (StreamBroken, ProtocolError, TimedOut) as error:
+                self.report("store_lost", reason=str(error) or "silence")
+            yield from self._rest()
+
+    def _rest(self) -> Coroutine:
+        """Between two connections: the charge ends when the session must have."""
+        until = self.loop.now() + REDIAL
+        if not self.lapsed and self.valid_until <= until:
+            yield from self.loop.sleep(self.valid_until - self.loop.now())
+            self._lapse()
+        yield from self.loop.sleep(until - self.loop.now())
+
+    def _lapse(self) -> None:
+        if not self.lapsed and not self.in_charge():
+            self.report("charge_lapsed")
+            self._give_up()
+
+    def _give_up(self) -> None:
+        if not self.lapsed:
+            self.lapsed = True
+            self.told.on_store_lost()
+
+    def _talk(self, link: Link, first: list[m.Message]) -> Coroutine:
+        asked_at = self.loop.now()
+        link.send(m.Open(self.place))
+        renewer = None
+        got = first
+        try:
+            while True:
+                for message in got:
+                    if isinstance(message, m.Opened):
+                        self.link, self.lease = link, message.lease
+                        self._give_up()      # what is still held is given anew, with what the store knows of it
+                        self.valid_until = asked_at + message.lease
+                        renewer = self.loop.spawn(self._renew(link), "store renew")
+                    else:
+                        self._take(message)
+                limit = max(self.valid_until, self.loop.now()) if self.lease else self.loop.now() + DIAL_TIMEOUT
+                got = yield from link.receive(max(limit, self.loop.now() + 1))
+        finally:
+            if renewer is not None:
+                renewer.cancel()
+            self.link = None
+            self.waiting.clear()             # what became of them is told by the giving that follows
+            link.close("leaving", "this connection is given up")
+            self._lapse()
+
+    def _take(self, message: m.Message) -> None:
+        if isinstance(message, m.Renewed):
+            asked = self.asked.pop(message.n, None)
+            if asked is not None:
+                self.valid_until = max(self.valid_until, asked + self.lease)
+        elif isinstance(message, m.Give):
+            self.lapsed = False
+            self.told.on_store_given(message.slices)
+        elif isinstance(message, m.Take):
+            self.told.on_store_taken(message.slices)
+            if self.link is not None:
+                self.link.send(m.Released(message.number))
+        elif isinstance(message, m.Committed):
+            then = self.waiting.pop(message.number, None)
+            if then is not None:
+                then(message.denied)
+
+    def _renew(self, link: Link) -> Coroutine:
+        self.asked.clear()
+        while not link.closed:
+            yield from self.loop.sleep(self.lease // RENEWALS)
+            self.drawn += 1
+            self.asked[self.drawn] = self.loop.now()
+            try:
+                link.send(m.Renew(self.drawn))
+            except StreamBroken:
+                return
--- /dev/null
+++ b/cedarshift/roster/__init__.py
@@ -0,0 +1,5 @@
+"""Sources of the endpoint list: a watched file, a list service; and the newest list kept for the next start."""
+from cedarshift.roster.entries import ListRefused, Starts, parse_list
+from cedarshift.roster.sources import FileSource, ServiceSource
+
+__all__ = ["FileSource", "ListRefused", "ServiceSource", "Starts", "parse_list"]
--- /dev/null
+++ b/tests/program.py
@@ -0,0 +1,122 @@
+"""Builds what the program's tests need: a loop on a virtual clock, a deployment, and its parts in one process."""
+import random
+
+from cedarshift.agent import Agent, Tables
+from cedarshift.agent.tables import OpKind
+from cedarshift.codec import Badge
+from cedarshift.deployment import load
+from cedarshift.loop import Loop, listen
+from cedarshift.loop.memory import MemoryNetwork, VirtualClock
+from cedarshift.pilot import PilotService
+from cedarshift.store.ledger import MemoryLedger
+from cedarshift.store.service import StoreService
+
+SECOND = 1_000_000
+
+FILE = """
+deployment "trial" {{
+  slices = {slices}
+  zones = ["z"]
+  op_type "get" {{
+    target_latency = "2s"
+    op_timeout = "6s"
+    repeats = "retryable"
+  }}
+  op_type "put" {{
+    target_latency = "2s"
+    op_timeout = "3s"
+    repeats = "once-only"
+    writes = true
+  }}
+  {pilots}
+  store {{
+    listen = "127.0.0.1:7000"
+    path = "store.db"
+  }}
+  list {{ file = "list.json" }}
+  channel {{
+    lines_per_s = {lines_per_s}
+  }}
+  proxy {{
+    in_flight_most = "3s"
+    report_every = "500ms"
+    {proxy}
+  }}
+}}
+"""
+
+
+def virtual_loop(delay=200):
+    clock = VirtualClock()
+    heard = []
+    loop = Loop(clock, MemoryNetwork(clock, lambda: delay), lambda event, **fields: heard.append((event, fields)))
+    loop.heard = heard
+    return loop
+
+
+def write_list(folder, endpoints, name="list.json"):
+    rows = ", ".join('{"endpoint": "%s", "phase": "%s", "start": "%s", "zone": "z"}' % e for e in endpoints)
+    part = folder / (name + ".part")
+    part.write_text('{"endpoints": [%s]}' % rows)
+    part.rename(folder / name)
+
+
+def deployment(folder, pilots=2, slices=8, lines_per_s=6000, proxy="", endpoints="abcd"):
+    doors = "\n".join(f'pilot "p{i}" {{ listen = "127.0.0.1:{7100 + i}" }}' for i in range(pilots))
+    path = folder / "trial.hcl"
+    path.write_text(FILE.format(slices=slices, pilots=doors, lines_per_s=lines_per_s, proxy=proxy))
+    write_list(folder, [(e, "on", "1") for e in endpoints])
+    return load(str(path))
+
+
+class Fleet:
+    """Store, pilots and proxies of a deployment on one loop."""
+
+    def __init__(self, loop, deployment, proxies=3, ledger=None):
+        self.loop, self.deployment = loop, deployment
+        self.ledger = ledger or MemoryLedger(deployment.slices)
+        self.store, self.pilots, self.agents = self.new_store(), {}, {}
+        for place in deployment.pilots:
+            self.new_pilot(place.name)
+        for n in range(proxies):
+            self.new_agent(f"x{n}")
+
+    def new_store(self):
+        d, place = self.deployment, self.deployment.store
+        return StoreService(self.loop, listen(self.loop, place.listen), self.ledger,
+                            Badge(d.name, "store", "store", "", d.secret), [p.name for p in d.pilots],
+                            place.session_lease, place.takeover, place.back_after)
+
+    def new_pilot(self, name):
+        door = listen(self.loop, self.deployment.pilot(name).listen)
+        self.pilots[name] = PilotService(self.loop, door, self.deployment, name, 7, self.loop.report)
+        return self.pilots[name]
+
+    def new_agent(self, name):
+        d, chance = self.deployment, random.Random(name)
+        tables = Tables(d.slices, [OpKind(op.name, op.writes) for op in d.op_types], d.single_owner, d.proxy.lease, True)
+        self.agents[name] = Agent(self.loop, Badge(d.name, "proxy", name, "z", d.secret),
+                                  {p.name: p.listen for p in d.pilots}, d.store.listen, tables, chance.random)
+        return self.agents[name]
+
+    def run(self, seconds):
+        self.loop.run(self.loop.spawn(self.loop.sleep(int(seconds * SECOND)), "wait"))
+
+    def owners(self, name="x0"):
+        return {n: holding.owner for n, holding in self.agents[name].tables.held.items()}
+
+
+def kill(fleet, service):
+    """As kill -9: nothing is said, every stream ends, no task goes on."""
+    for task in list(service.tasks) + ([service.store.task] if getattr(service, "store", None) else []):
+        task.cancel()
+    service.listener.close()
+    links = [s.link for s in getattr(service, "proxies", {}).values()] + list(getattr(service, "peers", {}).values())
+    if getattr(service, "store", None) and service.store.link:
+        links.append(service.store.link)
+    for link in links:
+        link.stream.close()
+    if hasattr(service, "brain"):
+        service.source.stop()
+        service._pull = lambda: None
+        service.pulling = True
--- /dev/null
+++ b/tests/test_loop.py
@@ -0,0 +1,184 @@
+import os
+import signal
+
+import pytest
+
+from cedarshift.loop import BufferFull, Loop, StreamBroken, TimedOut, dial, listen
+from cedarshift.loop.epoll import Signals, real_loop
+from program import virtual_loop
+
+DOOR = ("127.0.0.1", 7300)
+
+
+def echo(loop, listener):
+    def one(stream):
+        while data := (yield from stream.read()):
+            stream.write(data)
+        stream.finish(100_000)
+    while True:
+        stream = yield from listener.accept()
+        loop.spawn(one(stream), "echo")
+
+
+@pytest.mark.parametrize("make", [real_loop, virtual_loop])
+def test_the_same_code_runs_on_sockets_and_in_memory(make):
+    loop = make()
+    door = listen(loop, ("127.0.0.1", 0))
+    loop.spawn(echo(loop, door), "accept")
+
+    def main():
+        stream = yield from dial(loop, door.address)
+        stream.write(b"x" * 300_000)
+        got = 0
+        while got < 300_000:
+            got += len((yield from stream.read(loop.now() + 2_000_000)))
+        stream.close()
+        return got
+    assert loop.run(loop.spawn(main(), "main")) == 300_000
+
+
+@pytest.mark.parametrize("make", [real_loop, virtual_loop])
+def test_a_dial_to_nobody_fails_and_a_read_times_out(make):
+    loop = make()
+    door = listen(loop, ("127.0.0.1", 0))
+
+    def main():
+        stream = yield from dial(loop, door.address)
+        with pytest.raises(TimedOut):
+            yield from stream.read(loop.now() + 20_000)
+        door.close()
+        with pytest.raises(StreamBroken):
+            yield from dial(loop, door.address)
+    loop.run(loop.spawn(main(), "main"))
+
+
+@pytest.mark.parametrize("make", [real_loop, virtual_loop])
+def test_a_peer_that_does_not_read_fills_its_own_buffer_only(make):
+    loop = make()
+    door = listen(loop, ("127.0.0.1", 0), write_most=100_000)
+
+    def main():
+        deaf = yield from dial(loop, door.address)
+        to_deaf = yield from door.accept()
+        live = yield from dial(loop, door.address)
+        to_live = yield from door.accept()
+        with pytest.raises(BufferFull):
+            for _ in range(1000):
+                to_deaf.write(b"y" * 65_536)
+        to_live.write(b"z")
+        assert (yield from live.read(loop.now() + 1_000_000)) == b"z"
+        deaf.close()
+        live.close()
+    loop.run(loop.spawn(main(), "main"))
+
+
+def test_timers_run_in_order_and_a_cancelled_one_does_not():
+    loop, ran = virtual_loop(), []
+    loop.at(loop.now() + 300, ran.append, 3)
+    loop.at(loop.now() + 100, ran.append, 1)
+    loop.at(loop.now() + 100, ran.append, 2)
+    loop.at(loop.now() + 200, ran.append, 9).cancel()
+    loop.run(loop.spawn(loop.sleep(1000), "main"))
+    assert ran == [1, 2, 3]
+
+
+def test_a_task_that_raises_is_told_once_with_its_traceback_and_harms_no_other():
+    loop = virtual_loop()
+
+    def bad():
+        yield from loop.sleep(10)
+        raise KeyError("here")
+    loop.spawn(bad(), "bad")
+    loop.run(loop.spawn(loop.sleep(1000), "main"))
+    assert [(event, fields["task"]) for event, fields in loop.heard] == [("task_failed", "bad")]
+    assert "KeyError" in loop.heard[0][1]["traceback"]
+
+
+def test_a_cancelled_task_cleans_up_and_join_tells_of_it():
+    loop, seen = virtual_loop(), []
+
+    def waits():
+        try:
+            yield from loop.sleep(10_000_000)
+        finally:
+            seen.append("cleaned")
+    task = loop.spawn(waits(), "waits")
+    loop.at(loop.now() + 100, task.cancel)
+    loop.run(loop.spawn(loop.sleep(1000), "main"))
+    assert seen == ["cleaned"] and task.done and loop.heard == []
+
+
+def test_a_stale_waker_wakes_nobody():
+    loop, got = virtual_loop(), []
+
+    def main():
+        waker = loop.waker()
+        loop.at(loop.now() + 100, waker.wake, "first")
+        loop.at(loop.now() + 100, waker.wake, "second")
+        got.append((yield))
+        yield from loop.sleep(1000)
+    loop.run(loop.spawn(main(), "main"))
+    assert got == ["first"]
+
+
+def test_a_slow_step_is_reported_with_its_name():
+    times = iter(range(0, 100_000_000, 60_000))
+
+    class Clock:
+        def now(self):
+            return next(times)
+
+    class Nothing:
+        def poll(self, wait):
+            pass
+    heard = []
+    loop = Loop(Clock(), Nothing(), lambda event, **fields: heard.append((event, fields["task"])))
+    loop.run(loop.spawn(loop.breathe(), "slow"))
+    assert ("slow_step", "slow") in heard
+
+
+def test_a_reader_that_always_has_more_lets_others_run():
+    loop, swallowed = virtual_loop(delay=0), []
+    door = listen(loop, DOOR)
+
+    def flood(stream):
+        while True:
+            stream.write(b"f" * 60_000)
+            yield from stream.drain(0)
+
+    def main():
+        stream = yield from dial(loop, DOOR)
+        loop.spawn(flood((yield from door.accept())), "flood")
+
+        def swallow():
+            while True:
+                swallowed.append(len((yield from stream.read())))
+        loop.spawn(swallow(), "swallow")
+        for _ in range(50):
+            yield from loop.breathe()
+    loop.run(loop.spawn(main(), "main"))
+    assert 0 < len(swallowed) < 200
+
+
+def test_signals_come_as_something_to_wait_for():
+    loop = real_loop()
+    signals = Signals(loop, loop.network, [signal.SIGHUP])
+    loop.at(loop.now() + 1000, os.kill, os.getpid(), signal.SIGHUP)
+    assert loop.run(loop.spawn(signals.next(), "signals")) == signal.SIGHUP
+    signal.set_wakeup_fd(-1)
+
+
+def test_a_full_listener_turns_newcomers_away():
+    loop = virtual_loop()
+    door = listen(loop, DOOR, most=2)
+
+    def main():
+        streams = []
+        for _ in range(3):
+            streams.append((yield from dial(loop, DOOR)))
+        for _ in range(2):
+            yield from door.accept()
+        loop.spawn(door.accept(), "third")
+        assert (yield from streams[2].read(loop.now() + 10_000)) == b""
+        assert door.turned_away == 1
+    loop.run(loop.spawn(main(), "main"))
