--- a/cedarshift/cli/main.py
+++ b/cedarshift/cli/main.py
@@ -139,7 +139,10 @@
 def _play(day: Any, out: str, seed: Optional[int], quiet: bool) -> None:
     from cedarshift.rehearsal.run import play
     from cedarshift.rehearsal.report import as_text
-    report = play(day, out, seed, None if quiet else lambda text: click.echo(text, err=True))
+    try:
+        report = play(day, out, seed, None if quiet else lambda text: click.echo(text, err=True))
+    except (OSError, TimeoutError) as error:
+        raise click.ClickException(str(error)) from None
     click.echo(as_text(report))
     sys.exit(0 if report["as_expected"] else 1)
 
--- a/cedarshift/link/link.py
+++ b/cedarshift/link/link.py
@@ -55,8 +55,12 @@
             self.stream.write(frame)
 
     def close(self, code: str, reason: str) -> None:
+        """Says why, if that can still be heard, and closes. Never raises: it also runs while another error is on its way."""
         self.session.close(code, reason)
-        self._flush()
+        try:
+            self._flush()
+        except StreamBroken:
+            pass
         self.stream.finish(LAST_WORDS)
 
     def _flush(self) -> None:
--- a/cedarshift/pilot/store_client.py
+++ b/cedarshift/pilot/store_client.py
@@ -99,7 +99,7 @@
     def _talk(self, link: Link, first: list[m.Message]) -> Coroutine:
         asked_at = self.loop.now()
         link.send(m.Open(self.place))
-        renewer = None
+        renewer = None                       # set once this connection's session is open
         got = first
         try:
             while True:
@@ -111,8 +111,9 @@
                         renewer = self.loop.spawn(self._renew(link), "store renew")
                     else:
                         self._take(message)
-                limit = max(self.valid_until, self.loop.now()) if self.lease else self.loop.now() + DIAL_TIMEOUT
-                got = yield from link.receive(max(limit, self.loop.now() + 1))
+                # Not the end of a former session: on a new connection that would time out before the answer.
+                limit = self.valid_until if renewer is not None else asked_at + DIAL_TIMEOUT
+                got = yield from link.receive(limit)
         finally:
             if renewer is not None:
                 renewer.cancel()
--- a/cedarshift/rehearsal/fleet.py
+++ b/cedarshift/rehearsal/fleet.py
@@ -12,33 +12,54 @@
 
 from cedarshift.deployment import Deployment
 from cedarshift.deployment.render import render
-from cedarshift.loop import Loop, StreamBroken, TimedOut, dial, listen
+from cedarshift.loop import Listener, Loop, StreamBroken, TimedOut, dial, listen
 from cedarshift.loop.core import Coroutine
 from cedarshift.web import Pool
 
 HOST = "127.0.0.1"
+BLOCK, BLOCKS = 200, 60
 FIRST_PORT = 20_000       # below the ports that the system hands out for outgoing connections
 READY_WITHIN = 20_000_000  # us for a process to take connections
 
 
 class Ports:
-    """Free ports of the loopback address, each given once."""
+    """Free ports of the loopback address, each given once. A block of them belongs to one run: its first port is held,
+    so that rehearsals side by side do not take each other's."""
 
-    def __init__(self, loop: Loop, seed: int) -> None:
+    def __init__(self, loop: Loop) -> None:
         self.loop = loop
-        self.next = FIRST_PORT + (os.getpid() * 61 + seed) % 8_000
+        first = os.getpid() % BLOCKS
+        self.held: list[Listener] = []
+        self.next = self.last = 0
+        self.blocks = [FIRST_PORT + (first + n) % BLOCKS * BLOCK for n in range(BLOCKS)]
+        self._claim()
+
+    def _claim(self) -> None:
+        while self.blocks:
+            base = self.blocks.pop(0)
+            try:
+                self.held.append(listen(self.loop, (HOST, base)))
+            except OSError:
+                continue
+            self.next, self.last = base + 1, base + BLOCK
+            return
+        raise OSError("no block of ports is free on the loopback address")
 
     def take(self) -> tuple[str, int]:
         while True:
+            if self.next >= self.last:
+                self._claim()
             self.next += 1
-            if self.next > 32_000:
-                self.next = FIRST_PORT
             try:
-                listen(self.loop, (HOST, self.next)).close()
-                return (HOST, self.next)
+                listen(self.loop, (HOST, self.next - 1)).close()
+                return (HOST, self.next - 1)
             except OSError:
                 continue
 
+    def release(self) -> None:
+        for listener in self.held:
+            listener.close()
+
 
 class Fleet:
     """Processes by name: "store", "p0", "e3", "x2", "c0", "list", "relay"."""
--- a/cedarshift/rehearsal/run.py
+++ b/cedarshift/rehearsal/run.py
@@ -45,6 +45,7 @@
         loop.run(loop.spawn(_day(stage, day, hall, say or (lambda text: None)), "day"))
     finally:
         stage.fleet.stop_all()
+        stage.ports.release()
     evidence = Evidence(limits_of(day), read_records(folder), hall.begin, hall.end)
     report = make_report(day, evidence, hall.ended, seed=stage.seed)
     write_report(report, evidence, folder)
--- a/cedarshift/rehearsal/stage.py
+++ b/cedarshift/rehearsal/stage.py
@@ -28,7 +28,7 @@
         self.chance = random.Random(seed)
         self.fleet = Fleet(loop, folder)
         self.recorder = Recorder(loop, self.fleet.path("record-runner.jsonl"))
-        self.ports = Ports(loop, seed)
+        self.ports = Ports(loop)
         self.list_address = self.ports.take()
         self.deployment: Deployment = placed(day.deployment, self.ports, folder, self.list_address)
         self.zones = list(self.deployment.zones) or [""]
--- a/tests/program.py
+++ b/tests/program.py
@@ -120,3 +120,38 @@
         service.source.stop()
         service._pull = lambda: None
         service.pulling = True
+
+
+class Watcher:
+    """Looks every few milliseconds at where each proxy would send a write of each slice, and holds it against rule two:
+    once a proxy may send to one owner, no proxy may to another until the settle time after the first ones last could."""
+
+    STEP = 4_000
+
+    def __init__(self, fleet, writes=1):
+        self.fleet, self.writes, self.broken = fleet, writes, []
+        self.last, self.owner, self.permitted, self.moves = {}, {}, 0, 0
+        fleet.loop.spawn(self.watch(), "watcher")
+
+    def watch(self):
+        loop, settle = self.fleet.loop, self.fleet.deployment.proxy.in_flight_most
+        while True:
+            now = loop.now()
+            for agent in self.fleet.agents.values():
+                if now < agent.frozen_until:
+                    continue
+                for number in agent.tables.held:
+                    got = agent.tables.pick(now, number, self.writes, 0.5)
+                    if hasattr(got, "endpoint"):
+                        self.permit(now, number, got.endpoint, settle)
+            yield from loop.sleep(self.STEP)
+
+    def permit(self, now, number, endpoint, settle):
+        self.permitted += 1
+        before = self.owner.get(number)
+        if before not in (None, endpoint):
+            self.moves += 1
+            if now - self.last[number, before] < settle - self.STEP:
+                self.broken.append((now, number, before, endpoint))
+        self.owner[number] = endpoint
+        self.last[number, endpoint] = now
