--- a/cedarshift/agent/client.py
+++ b/cedarshift/agent/client.py
@@ -159,7 +159,7 @@
         now = self.loop.now()
         if isinstance(message, m.BeatOk):
             asked_at = beats.pop(message.n, None)
-            if asked_at is not None:
+            if asked_at is not None and message.in_charge:
                 self.tables.on_lease(name, asked_at)
         elif isinstance(message, m.Order):
             rows = len(message.lines) + len(message.levels)
--- a/cedarshift/codec/messages.py
+++ b/cedarshift/codec/messages.py
@@ -158,8 +158,9 @@
 
 
 class BeatOk(Message):
-    """The pilot is still in charge."""
+    """The pilot is there; `in_charge`: nobody else can have been given its slices, so the lease runs on."""
     n: int
+    in_charge: bool = True
 
 
 class Ack(Message):
--- a/cedarshift/pilot/admin.py
+++ b/cedarshift/pilot/admin.py
@@ -28,7 +28,7 @@
             "proxies_joined": len(s.proxies), "slices_in_charge": len(s.slices), "endpoints_listed": len(s.listed),
             "channel_lines_waiting": s.channel.waiting, "channel_lines_peak": s.channel.peak,
             "channel_breaches": s.channel.breaches, "intake_lines_waiting": s.intake.lines_waiting(),
-            "in_charge": float(s.store.in_charge()) if s.store else 1.0,
+            "in_charge": float(s.in_charge()),
             "slowest_step_seconds": s.loop.slowest / 1e6,
             "in_force_seconds_p50": acks[len(acks) // 2] / 1e6 if acks else 0.0,
             "in_force_seconds_p99": acks[len(acks) * 99 // 100] / 1e6 if acks else 0.0,
--- a/cedarshift/pilot/service.py
+++ b/cedarshift/pilot/service.py
@@ -240,8 +240,7 @@
 
     def _hear(self, session: ProxySession, message: m.Message) -> None:
         if isinstance(message, m.Beat):
-            if not self.deployment.slices or (self.store is not None and self.store.in_charge()):
-                session.link.send(m.BeatOk(message.n))
+            session.link.send(m.BeatOk(message.n, self.in_charge()))
         elif isinstance(message, m.Ack):
             self._hear_ack(session, message)
         elif isinstance(message, m.Sums):
@@ -252,6 +251,9 @@
                 if heat.slice in self.slices and heat.op_type < len(self.deployment.op_types):
                     self.intake.add_heat(now, heat)
 
+    def in_charge(self) -> bool:
+        return not self.deployment.slices or (self.store is not None and self.store.in_charge())
+
     def _hear_ack(self, session: ProxySession, ack: m.Ack) -> None:
         if ack.mark not in session.marks:
             raise OutOfOrder(f"an ack of mark {ack.mark}, which was not sent on this session or was acked")
@@ -458,7 +460,7 @@
         """What the pilot holds, for `cedarshift tables`."""
         return {
             "pilot": self.name, "deployment": self.deployment.name,
-            "in_charge": self.store.in_charge() if self.store else not self.deployment.slices,
+            "in_charge": self.in_charge(),
             "proxies": [{"id": s.name, "zone": s.zone, "seq": s.seq, "unacked": len(s.marks)}
                         for _, s in sorted(self.proxies.items())],
             "endpoints": [{"endpoint": e.endpoint, "phase": e.phase, "size": e.size, "zone": e.zone}
--- a/cedarshift/rehearsal/faults.py
+++ b/cedarshift/rehearsal/faults.py
@@ -68,6 +68,11 @@
         yield from self._wait(v["for"])
         self.stage.fleet.signal(f"p{v['which']}", signal.SIGCONT)
 
+    def _pause_proxy(self, v: dict[str, Any]) -> Coroutine:
+        self.stage.fleet.signal(f"x{v['which']}", signal.SIGSTOP)
+        yield from self._wait(v["for"])
+        self.stage.fleet.signal(f"x{v['which']}", signal.SIGCONT)
+
     def _reload_pilot(self, v: dict[str, Any]) -> Coroutine:
         self.stage.fleet.signal(f"p{v['which']}", signal.SIGHUP)
         yield from self._wait(0)
--- a/cedarshift/rehearsal/rules.py
+++ b/cedarshift/rehearsal/rules.py
@@ -203,7 +203,7 @@
             for endpoint, phase, _ in row.told[2]:
                 if phase == "on":
                     told.pop((row.told[0], endpoint), None)
-                else:
+                elif phase == "fading" or evidence.limits.gone_binds:
                     told.setdefault((row.told[0], endpoint), row.at)
         elif row.what == "joined":
             since[row.who, row.told[0]] = row.at
--- a/cedarshift/standins/__main__.py
+++ b/cedarshift/standins/__main__.py
@@ -2,13 +2,23 @@
 from __future__ import annotations
 
 import importlib
+import os
 import sys
 
+from cedarshift.loop import Loop
+from cedarshift.loop.core import Coroutine
 from cedarshift.loop.epoll import real_loop
 
 KINDS = ("endpoint", "proxy", "client", "lists", "relay")
 
 
+def _not_alone(loop: Loop, parent: int) -> Coroutine:
+    """A stand-in does not outlive the rehearsal that started it."""
+    while os.getppid() == parent:
+        yield from loop.sleep(1_000_000)
+    loop.stop()
+
+
 def main() -> int:
     if len(sys.argv) != 4 or sys.argv[1] not in KINDS:
         print(f"usage: python -m cedarshift.standins {'|'.join(KINDS)} PLAN RECORD", file=sys.stderr)
@@ -18,6 +28,7 @@
     with open(plan, "rb") as source:
         raw = source.read()
     importlib.import_module(f"cedarshift.standins.{kind}").run(loop, raw, record)
+    loop.spawn(_not_alone(loop, os.getppid()), "not alone")
     loop.run()
     return 0
 
--- a/cedarshift/web/client.py
+++ b/cedarshift/web/client.py
@@ -86,7 +86,10 @@
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
-                conn.receive_data((yield from stream.read(until)))
+                data = yield from stream.read(until)
+                if not data:
+                    raise StreamBroken(f"{stream.peer}: closed before the end of its reply")
+                conn.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
@@ -96,8 +99,6 @@
                     raise StreamBroken(f"{stream.peer}: a reply over {REPLY_MOST} bytes")
             elif isinstance(event, h11.EndOfMessage):
                 return Reply(status, headers, body)
-            elif isinstance(event, h11.ConnectionClosed):
-                raise StreamBroken(f"{stream.peer}: closed before its reply")
 
     def close_idle(self) -> None:
         for free in self.free.values():
--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,115 @@
+import pytest
+
+from cedarshift.agent.tables import NoPick, OpKind, Pick, Tables
+from cedarshift.codec import OutOfOrder
+from cedarshift.codec import messages as m
+
+GET, PUT, LEASE = 0, 1, 800_000
+
+
+def tables(slices=2, epoch=5, owner="a", lease_until=LEASE, **how):
+    made = Tables(slices, [OpKind("get", False), OpKind("put", True)], True, LEASE, how.pop("even", True), **how)
+    made.on_join("p")
+    made.on_snapshot(0, "p", m.Snapshot([m.Held(n, epoch, 1, owner) for n in range(slices)]))
+    made.on_lease("p", lease_until - LEASE)
+    return made
+
+
+def order(*lines, seq=1, levels=()):
+    return m.Order(seq, 0, [m.Line(*line) for line in lines], list(levels))
+
+
+@pytest.mark.parametrize("op, now, got", [
+    (GET, 0, Pick("a", "p", 5)), (PUT, LEASE - 1, Pick("a", "p", 5)), (PUT, LEASE, NoPick("lease")),
+    (GET, 10 * LEASE, Pick("a", "p", 5))])
+def test_a_write_needs_the_lease_and_a_read_does_not(op, now, got):
+    assert tables().pick(now, 0, op, 0.5) == got
+
+
+@pytest.mark.parametrize("epoch, weight, owner", [(5, 1.0, "b"), (4, 1.0, "a"), (5, 0.0, "a")])
+def test_lines_of_an_older_epoch_change_nothing(epoch, weight, owner):
+    t = tables()
+    t.on_order("p", order((0, "b", weight, epoch)))
+    assert t.held[0].owner == owner
+
+
+def test_a_line_under_an_epoch_that_was_never_given_is_an_error():
+    with pytest.raises(OutOfOrder, match="epoch 6"):
+        tables().on_order("p", order((0, "b", 1.0, 6)))
+
+
+def test_a_gap_in_the_orders_is_an_error_and_nothing_is_applied():
+    t = tables()
+    with pytest.raises(OutOfOrder):
+        t.on_order("p", order((0, "b", 1.0, 5), seq=2))
+    assert t.held[0].owner == "a"
+
+
+def test_another_pilots_line_is_refused_though_the_epoch_is_the_same():
+    t = tables()
+    t.on_join("q")
+    t.on_order("q", order((0, "b", 1.0, 5)))
+    assert t.held[0].owner == "a" and t.stale == 1
+
+
+def test_a_former_pilots_snapshot_does_not_bring_a_former_owner_back():
+    t = tables()
+    t.on_join("q")
+    t.on_charge(0, "q", m.Charge(given=[m.Held(0, 6, 9, "b")]))
+    t.on_snapshot(0, "p", m.Snapshot([m.Held(0, 5, 1, "a")]))
+    assert t.held[0].owner == "b" and t.held[0].pilot == "q"
+
+
+@pytest.mark.parametrize("later", [0, LEASE // 2, 3 * LEASE])
+def test_a_slice_that_left_its_pilots_charge_gets_no_more_lease(later):
+    t = tables()
+    t.on_charge(0, "p", m.Charge(taken=[0]))
+    t.on_lease("p", later)
+    assert isinstance(t.pick(LEASE - 1, 0, PUT, 0.5), Pick)
+    assert t.pick(LEASE, 0, PUT, 0.5) == NoPick("lease")
+    assert t.pick(LEASE, 0, GET, 0.5) == Pick("a", "p", 5)
+
+
+def test_what_the_store_holds_serves_reads_alone_and_yields_to_a_pilot():
+    t = Tables(1, [OpKind("get", False), OpKind("put", True)], True, LEASE, True)
+    t.on_store([m.Held(0, 5, 1, "a")])
+    assert t.pick(0, 0, GET, 0.5) == Pick("a", "", 5) and t.pick(0, 0, PUT, 0.5) == NoPick("lease")
+    t.on_join("p")
+    t.on_snapshot(0, "p", m.Snapshot([m.Held(0, 5, 1, "b")]))
+    t.on_store([m.Held(0, 5, 1, "a")])
+    assert t.held[0].owner == "b"
+
+
+def test_level_nought_closes_writes_and_leaves_reads():
+    t = tables()
+    t.on_order("p", order(levels=[m.Level(0, 1 << PUT, 0.0, 0, 5)]))
+    assert t.pick(0, 0, PUT, 0.5) == NoPick("closed") and isinstance(t.pick(0, 0, GET, 0.5), Pick)
+    t.on_order("p", order(seq=2, levels=[m.Level(0, 1 << PUT, 1.0, 0, 5)]))
+    assert isinstance(t.pick(0, 0, PUT, 0.5), Pick)
+
+
+@pytest.mark.parametrize("share", [0.1, 0.6, 0.85])
+def test_a_level_lets_its_share_in(share):
+    t = tables()
+    t.on_order("p", order(levels=[m.Level(65_535, 0, share)]))
+    let_in = sum(isinstance(t.pick(0, 0, GET, 0.5), Pick) for _ in range(500))
+    assert abs(let_in / 500 - share) < 0.02
+
+
+@pytest.mark.parametrize("even", [True, False])
+def test_without_slices_lines_are_picked_by_weight(even):
+    t = Tables(0, [OpKind("get", False)], False, LEASE, even)
+    t.on_join("p")
+    t.on_snapshot(0, "p", m.Snapshot(table=0, lines=[m.Line(0, "a", 3.0), m.Line(0, "b", 1.0)]))
+    got = [t.pick(0, -1, GET, n / 400).endpoint for n in range(400)]
+    assert got.count("a") == 300
+
+
+def test_an_endpoint_that_fails_in_a_row_is_avoided_while_there_is_another():
+    t = Tables(0, [OpKind("get", False)], False, LEASE, True, outlier_after=2)
+    t.on_join("p")
+    t.on_snapshot(0, "p", m.Snapshot(table=0, lines=[m.Line(0, "a", 1.0), m.Line(0, "b", 1.0)]))
+    t.on_outcome(0, "a", True)
+    t.on_outcome(0, "a", True)
+    assert {t.pick(1, -1, GET, 0.5).endpoint for _ in range(6)} == {"b"}
+    assert {t.pick(4_000_000, -1, GET, 0.5).endpoint for _ in range(6)} == {"a", "b"}
--- /dev/null
+++ b/tests/test_deployment.py
@@ -0,0 +1,72 @@
+import pytest
+
+from cedarshift.deployment import FileRefused, load
+from cedarshift.deployment.deployment import changes
+from cedarshift.deployment.render import render
+from cedarshift.rehearsal.day import load_day
+
+GOOD = open("examples/lone.hcl").read()
+
+
+def refused(tmp_path, text):
+    path = tmp_path / "f.hcl"
+    path.write_text(text)
+    with pytest.raises(FileRefused) as found:
+        load(str(path))
+    return [str(p).split("f.hcl", 1)[1] for p in found.value.problems]
+
+
+@pytest.mark.parametrize("old, new, line, said", [
+    ('"6s"', '"6 s"', 10, 'op_timeout = "6 s" in op_type "tile-fetch"'), ("slices       = 32", "slices = -1", 3, "from 0 to"),
+    ("slices       =", "slicez =", 3, "slicez is unknown"), ("repeats        = \"once-only\"\n", "", 14, "repeats is missing"),
+    ("32", "1 + 2", 3, "only plain values"), ("32", "", 3, "not HCL"), ('pick         = "even"', 'pick = "odd"', 6, '"chance"'),
+    ('"127.0.0.1:7180"', '"127.0.0.1:99999"', 24, "an address such as"), ('zone   = "north"', 'zone = "mars"', 25, "mars"),
+    ('"127.0.0.1:7180"', '"127.0.0.1:7100"', 22, "is the address of pilot p0 and of admin of p0"),
+    ('"3200ms"', '"2s"', 36, "in_flight_most is under the op_timeout of 'tile-order'"),
+    ('  list {\n    file = "lone-endpoints.json"\n  }\n', "", 2, "0 blocks list"),
+    ('file = "lone', 'service = "127.0.0.1:1"\n    file = "lone', 32, "either service or file"),
+    ('pilot "p0" {', 'pilot {', 22, "has 0 names"), ("writes         = true", "writes = 1", 19, "true or false"),
+    ("zones        =", 'slices = 3\n  zones =', 4, "slices is set twice"),
+    ('slices       = 32', 'slices = 32\n  secret_file = "gone"', 4, "No such file")])
+def test_every_error_has_its_line_and_what_is_allowed(tmp_path, old, new, line, said):
+    assert old in GOOD
+    problems = refused(tmp_path, GOOD.replace(old, new, 1))
+    assert any(p.startswith(f":{line}: ") and said in p for p in problems), problems
+
+
+def test_all_problems_are_told_at_once(tmp_path):
+    assert len(refused(tmp_path, GOOD.replace('"6s"', "6").replace("= 32", '= "x"').replace('"even"', '"odd"'))) == 3
+
+
+@pytest.mark.parametrize("path", ["examples/lone.hcl", "cedarshift/rehearsal/days/deployment-tiles.hcl",
+                                  "cedarshift/rehearsal/days/deployment-cyclone.hcl"])
+def test_a_rendered_deployment_reads_back_as_the_same(tmp_path, path):
+    before = load(path)
+    out = tmp_path / "out.hcl"
+    out.write_text(render(before))
+    may, must_not = changes(before, load(str(out)))
+    assert (may, must_not) == ([], [])
+
+
+def test_a_reload_tells_what_may_change_from_what_may_not(tmp_path):
+    path = tmp_path / "f.hcl"
+    path.write_text(GOOD.replace("slices       = 32", "slices = 33\n  intake_per_s = 9"))
+    assert changes(load("examples/lone.hcl"), load(str(path))) == (["intake_per_s"], ["slices"])
+
+
+@pytest.mark.parametrize("name", ["quiet", "bad-day", "cyclone-morning", "broken"])
+def test_the_days_that_come_with_the_program_are_sound(name):
+    assert load_day(name).name == name
+
+
+@pytest.mark.parametrize("fault, said", [
+    ('fault "flood" { at = "1s" }', "fault 'flood' is unknown; known: "),
+    ('fault "hang" { at = "1s" }', 'for is missing in fault "hang"'),
+    ('fault "hang" {\n at = "99s"\n for = "1s"\n }', "begins after the day's end"),
+    ('fault "kill_proxy" {\n at = "1s"\n for = "1s"\n which = 7\n }', "which = 7, there are 5")])
+def test_a_days_faults_are_checked_kind_by_kind(tmp_path, fault, said):
+    day = open("cedarshift/rehearsal/days/quiet.hcl").read().rstrip().rstrip("}") + fault + "\n}\n"
+    (tmp_path / "deployment-tiles.hcl").write_text(open("cedarshift/rehearsal/days/deployment-tiles.hcl").read())
+    (tmp_path / "day.hcl").write_text(day)
+    with pytest.raises(FileRefused, match=said):
+        load_day(str(tmp_path / "day.hcl"))
