Streams read once an edge; words before a goodbye in the same bytes are no longer lost

Each wake-up cost a second recv only to hear that nothing more was there. A read shorter than asked for now ends the edge, unless the peer has hung up, of which no later edge would tell. The in-memory pipe was made to keep the same promise, and showed that a session threw away whole messages that came in the same read as a Bye: a pilot that stopped in good order was then waited for until its lease ended. They are handed out first now, the error with the next call.

--- a/cedarshift/codec/session.py
+++ b/cedarshift/codec/session.py
@@ -62,6 +62,7 @@
         self.peer: Optional[Badge] = None
         self.welcome: Optional[m.Welcome] = None
         self.outbox: list[bytes] = []
+        self.failed: Optional[ProtocolError] = None
         self.rate_since = 0
         self.rate_count = 0
 
@@ -72,8 +73,11 @@
         self._say(m.Greet(self.badge.deployment, self.badge.role, self.badge.id, self.challenge))
 
     def receive(self, now: int, data: bytes) -> list[m.Message]:
-        """Raises a ProtocolError, after which the session is closed and `outbox` ends with the Bye."""
+        """Raises a ProtocolError, after which the session is closed and `outbox` ends with the Bye.
+
+        What came whole before the error is returned first; `failed` then holds the error, for the next call."""
         got: list[m.Message] = []
+        self.raise_failed()
         self.frames.feed(data)
         try:
             for message in self.frames.messages():
@@ -81,9 +85,15 @@
                 self._take(message, got)
         except ProtocolError as error:
             self.close(error.code, str(error))
-            raise
+            if not got:
+                raise
+            self.failed = error
         return got
 
+    def raise_failed(self) -> None:
+        if self.failed is not None:
+            raise self.failed
+
     def send(self, message: m.Message) -> bytes:
         """The frame of a message that the user says; asserts that the roles allow it."""
         assert self.state == OPEN and self.peer is not None, f"{type(message).__name__} while {self.state}"
--- a/cedarshift/link/link.py
+++ b/cedarshift/link/link.py
@@ -34,6 +34,7 @@
     def receive(self, until: Optional[int] = None) -> Coroutine:
         """The next messages, at least one. Raises StreamBroken at the stream's end, TimedOut at `until`."""
         while True:
+            self.session.raise_failed()
             data = yield from self.stream.read(until)
             if not data:
                 self.session.frames.end()
--- a/cedarshift/loop/epoll.py
+++ b/cedarshift/loop/epoll.py
@@ -19,6 +19,7 @@
 BACKLOG = 1024            # connections that the kernel may hold for an accept
 EDGES = select.EPOLLIN | select.EPOLLOUT | select.EPOLLRDHUP | select.EPOLLET
 READS = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+HANGS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 WRITES = select.EPOLLOUT | select.EPOLLHUP | select.EPOLLERR
 
 
@@ -34,7 +35,7 @@
 
     def __init__(self) -> None:
         self.epoll = select.epoll()
-        self.calls: dict[int, Callable[[bool, bool], None]] = {}
+        self.calls: dict[int, Callable[[bool, bool, bool], None]] = {}
 
     def poll(self, wait: Optional[int]) -> None:
         # Rounded up to a whole millisecond: epoll counts in those, and rounding down would spin until a timer is due.
@@ -42,9 +43,9 @@
         for number, events in self.epoll.poll(timeout, EVENTS_AT_ONCE):
             call = self.calls.get(number)
             if call is not None:
-                call(bool(events & READS), bool(events & WRITES))
+                call(bool(events & READS), bool(events & WRITES), bool(events & HANGS))
 
-    def register(self, number: int, call: Callable[[bool, bool], None]) -> None:
+    def register(self, number: int, call: Callable[[bool, bool, bool], None]) -> None:
         fresh = number not in self.calls
         self.calls[number] = call
         if fresh:
@@ -99,7 +100,7 @@
         except (BlockingIOError, InterruptedError):
             return 0
 
-    def watch(self, call: Callable[[bool, bool], None]) -> None:
+    def watch(self, call: Callable[[bool, bool, bool], None]) -> None:
         self.network.register(self.sock.fileno(), call)
 
     def close(self) -> None:
@@ -121,7 +122,7 @@
         sock.setblocking(False)
         return SocketPipe(self.network, sock), f"{peer[0]}:{peer[1]}"
 
-    def watch(self, call: Callable[[bool, bool], None]) -> None:
+    def watch(self, call: Callable[[bool, bool, bool], None]) -> None:
         self.network.register(self.sock.fileno(), call)
 
     def close(self) -> None:
@@ -149,7 +150,7 @@
             self.done = True
         return SocketPipe(self.network, self.sock)
 
-    def watch(self, call: Callable[[bool, bool], None]) -> None:
+    def watch(self, call: Callable[[bool, bool, bool], None]) -> None:
         self.network.register(self.sock.fileno(), call)
 
     def close(self) -> None:
@@ -172,7 +173,7 @@
             signal.signal(number, lambda *_: None)
         network.register(self.inner.fileno(), self._ready)
 
-    def _ready(self, readable: bool, writable: bool) -> None:
+    def _ready(self, readable: bool, writable: bool, hung: bool) -> None:
         try:
             self.came.extend(self.inner.recv(512))
         except (BlockingIOError, InterruptedError):
--- a/cedarshift/loop/memory.py
+++ b/cedarshift/loop/memory.py
@@ -71,12 +71,12 @@
         self.inbox: deque[bytes] = deque()
         self.held = 0                        # bytes sent to this side and not read yet
         self.arrives = 0                     # when the newest of them does: streams keep their order
-        self.call: Optional[Callable[[bool, bool], None]] = None
+        self.call: Optional[Callable[[bool, bool, bool], None]] = None
         self.finished = False                # the other side will send no more
         self.reset = False
         self.closed = False
 
-    def watch(self, call: Callable[[bool, bool], None]) -> None:
+    def watch(self, call: Callable[[bool, bool, bool], None]) -> None:
         self.call = call
 
     def recv(self, most: int) -> Optional[bytes]:
@@ -84,9 +84,10 @@
             raise OSError(errno.ECONNRESET, "connection reset")
         if not self.inbox:
             return b"" if self.finished else None
-        data = self.inbox.popleft()
+        data = b"".join(self.inbox)          # less than was asked for means, as on a socket, that no more is there
+        self.inbox.clear()
         if len(data) > most:
-            self.inbox.appendleft(data[most:])
+            self.inbox.append(data[most:])
             data = data[:most]
         full = self.held >= HOLDS
         self.held -= len(data)
@@ -118,7 +119,7 @@
 
     def _tell(self, readable: bool, writable: bool) -> None:
         if self.call is not None and not self.closed:
-            self.call(readable, writable)
+            self.call(readable, writable, self.finished or self.reset)
 
     def _finish(self) -> None:
         self.finished = True
@@ -143,12 +144,12 @@
         self.network = network
         self.address = address
         self.queue: deque[MemoryPipe] = deque()
-        self.call: Optional[Callable[[bool, bool], None]] = None
+        self.call: Optional[Callable[[bool, bool, bool], None]] = None
 
     def accept(self) -> Optional[tuple[MemoryPipe, str]]:
         return (self.queue.popleft(), "memory") if self.queue else None
 
-    def watch(self, call: Callable[[bool, bool], None]) -> None:
+    def watch(self, call: Callable[[bool, bool, bool], None]) -> None:
         self.call = call
 
     def close(self) -> None:
@@ -161,7 +162,7 @@
         self.address = address
         self.pipe: Optional[MemoryPipe] = None
         self.failed = False
-        self.call: Optional[Callable[[bool, bool], None]] = None
+        self.call: Optional[Callable[[bool, bool, bool], None]] = None
         network.later(network.delay(), self._reach)
 
     def _reach(self) -> None:
@@ -174,16 +175,16 @@
             self.pipe = near
             door.queue.append(far)
             if door.call is not None:
-                door.call(True, False)
+                door.call(True, False, False)
         if self.call is not None:
-            self.call(False, True)
+            self.call(False, True, False)
 
     def poll(self) -> Optional[MemoryPipe]:
         if self.failed:
             raise OSError(errno.ECONNREFUSED, "connection refused")
         return self.pipe
 
-    def watch(self, call: Callable[[bool, bool], None]) -> None:
+    def watch(self, call: Callable[[bool, bool, bool], None]) -> None:
         self.call = call
 
     def close(self) -> None:
--- a/cedarshift/loop/stream.py
+++ b/cedarshift/loop/stream.py
@@ -1,8 +1,9 @@
 """Byte streams with limits, over whatever pipes the network hands out.
 
 A pipe is non-blocking: `recv(most) -> bytes | None` (None: nothing now; b"": the peer has finished), `send(view) ->
-int` (0: no room now), `close()`, `watch(call)` where `call(readable, writable)` tells of edges. Readiness is told by
-edges, once a change; the stream remembers it and asks the pipe until it says "nothing now".
+int` (0: no room now), `close()`, `watch(call)` where `call(readable, writable, hung)` tells of edges, `hung` that the
+peer has finished. Readiness is told by edges, once a change; the stream remembers it and asks the pipe until it gives
+less than was asked for. Once it has hung up the stream asks until the end itself: no edge would tell of that again.
 """
 from __future__ import annotations
 
@@ -29,7 +30,7 @@
     def recv(self, most: int) -> Optional[bytes]: ...
     def send(self, view: Any) -> int: ...
     def close(self) -> None: ...
-    def watch(self, call: Callable[[bool, bool], None]) -> None: ...
+    def watch(self, call: Callable[[bool, bool, bool], None]) -> None: ...
 
 
 class Stream:
@@ -45,6 +46,7 @@
         self.chunks: deque[memoryview] = deque()
         self.readable = True                 # until the pipe says otherwise
         self.writable = True
+        self.hung = False                    # the peer has finished
         self.ended: Optional[StreamBroken] = None
         self.reader: Optional[Waker] = None
         self.drainer: Optional[Waker] = None
@@ -71,6 +73,7 @@
                     self._break(broken)
                     raise broken from None
                 if data is not None:
+                    self.readable = self.hung or len(data) == READ_AT_ONCE or not data
                     return data
                 self.readable = False
             self.reads = 0
@@ -146,9 +149,10 @@
             self.ended = error
         self.close()
 
-    def _ready(self, readable: bool, writable: bool) -> None:
+    def _ready(self, readable: bool, writable: bool, hung: bool) -> None:
         if self.closed:
             return
+        self.hung = self.hung or hung
         if readable:
             self.readable = True
             if self.reader is not None:
@@ -212,7 +216,7 @@
             self.open.add(stream)
             return stream
 
-    def _ready(self, readable: bool, writable: bool) -> None:
+    def _ready(self, readable: bool, writable: bool, hung: bool) -> None:
         if self.waiting is not None:
             self.waiting.wake()
 
@@ -220,7 +224,7 @@
         if not self.closed:
             self.closed = True
             self.door.close()
-            self._ready(True, False)
+            self._ready(True, False, True)
 
 
 def listen(loop: Loop, address: tuple[str, int], most: int = 4096, write_most: int = WRITE_MOST) -> Listener:
@@ -246,7 +250,7 @@
         if pipe is not None:
             return Stream(loop, pipe, peer, write_most)
         waker = loop.waker()
-        attempt.watch(lambda readable, writable: waker.wake())
+        attempt.watch(lambda readable, writable, hung: waker.wake())
         try:
             yield from loop.park(until)
         except TimedOut:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -100,3 +100,11 @@
     shake(accepts, dials)
     assert accepts.receive(0, dials.send(m.Ping(7))) == []
     assert dials.receive(0, accepts.take_outbox()) == []
+
+
+def test_what_came_before_an_error_in_the_same_bytes_is_not_lost():
+    accepts, dials = pair()
+    shake(accepts, dials)
+    assert accepts.receive(0, encode(m.Beat(1)) + encode(m.Bye("stopping", "for good"))) == [m.Beat(1)]
+    with pytest.raises(PeerClosed, match="for good"):
+        accepts.receive(0, b"")
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -182,3 +182,22 @@
         assert (yield from streams[2].read(loop.now() + 10_000)) == b""
         assert door.turned_away == 1
     loop.run(loop.spawn(main(), "main"))
+
+
+@pytest.mark.parametrize("make", [real_loop, virtual_loop])
+@pytest.mark.parametrize("size", [1, 65_536, 70_000])
+def test_the_end_of_a_stream_is_seen_when_it_came_with_the_last_bytes(make, size):
+    loop = make()
+    door = listen(loop, ("127.0.0.1", 0))
+
+    def main():
+        stream = yield from dial(loop, door.address)
+        far = yield from door.accept()
+        far.write(b"e" * size)
+        far.finish(1_000_000)
+        yield from loop.sleep(20_000)        # bytes and end lie there together
+        got = 0
+        while data := (yield from stream.read(loop.now() + 1_000_000)):
+            got += len(data)
+        return got
+    assert loop.run(loop.spawn(main(), "main")) == size
