--- /dev/null
+++ b/benchmarks/handover.py
@@ -0,0 +1,71 @@
+"""Hand-over on loopback: how long a slice's writes are closed, split into acks, settle time and grant.
+
+Store (SQLite, synced), pilot and agents run on one loop in one process; endpoints are drained one after the other. The
+floor is the settle time (in_flight_most), which no hand-over may undercut.
+
+    python -m benchmarks.handover [--proxies 70] [--rounds 6]
+"""
+from __future__ import annotations
+
+import argparse
+import tempfile
+from typing import Any
+
+from benchmarks.fixtures import make_agents, make_deployment, percentile, write_list
+from cedarshift.cli.daemons import open_store
+from cedarshift.loop import listen
+from cedarshift.loop.epoll import real_loop
+from cedarshift.pilot import PilotService
+
+ENDPOINTS, SLICES = 12, 96
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--proxies", type=int, default=70)
+    parser.add_argument("--rounds", type=int, default=6)
+    args = parser.parse_args()
+    loop = real_loop(lambda event, **fields: None)
+    with tempfile.TemporaryDirectory() as folder:
+        d = make_deployment(loop, folder, SLICES, ENDPOINTS, 20_000)
+        store = open_store(loop, d)
+        pilot = PilotService(loop, listen(loop, d.pilots[0].listen), d, "p0", 1, lambda event, **fields: None)
+        shut: dict[tuple[int, int], int] = {}
+        spans: list[float] = []
+
+        def observe(n: int, event: str, **fields: Any) -> None:
+            if event != "in_force":
+                return
+            for number, holding in agents[n].tables.held.items():
+                closed = not holding.owner or any(lv.share <= 0 for lv in holding.levels)
+                if closed:
+                    shut.setdefault((n, number), loop.now())
+                elif (n, number) in shut:
+                    began = shut.pop((n, number))
+                    if begun[0]:
+                        spans.append((loop.now() - began) / 1e6)
+        begun = [0]
+        agents = make_agents(loop, d, args.proxies, observe)
+
+        def play() -> Any:
+            while any(not h.owner for a in agents for h in a.tables.held.values()):
+                yield from loop.sleep(50_000)
+            begun[0] = loop.now()
+            pilot.in_force_us.clear()
+            for n in range(args.rounds):
+                write_list(folder, ENDPOINTS, tuple(range(n + 1)))
+                yield from loop.sleep(int(1.6 * d.proxy.in_flight_most))
+        loop.run(loop.spawn(play(), "play"))
+        acks = [us / 1e6 for us in pilot.in_force_us]
+        settle = d.proxy.in_flight_most / 1e6
+        print(f"{args.proxies} proxies, {ENDPOINTS} endpoints, {SLICES} slices, {args.rounds} drains one after the other; "
+              f"channel {d.channel.lines_per_s:g} lines/s")
+        print(f"{'':<34}{'p50 s':>8}{'p99 s':>8}{'max s':>8}")
+        for name, values in (("decided to in force and acked", acks), ("writes closed at a proxy", spans),
+                             ("  above the settle time (floor)", [s - settle for s in spans])):
+            print(f"{name:<34}{percentile(values, 0.5):>8.3f}{percentile(values, 0.99):>8.3f}{max(values, default=0):>8.3f}")
+        print(f"settle time {settle:g} s; closings seen {len(spans)}; store commits {store.ledger.commits}")
+
+
+if __name__ == "__main__":
+    main()
--- a/cedarshift/pilot/terms.py
+++ b/cedarshift/pilot/terms.py
@@ -1,6 +1,7 @@
 """A deployment's figures as the module's terms, in its units."""
 from __future__ import annotations
 
+from cedarshift import units
 from cedarshift.deployment import Deployment
 from cedarshift.interface import OpType, Terms
 
@@ -8,13 +9,11 @@
 
 
 def up(span: int) -> int:
-    """Microseconds to tenths of a millisecond, rounded up: waits end no sooner than stated."""
-    return -(-span // UNIT)
+    return units.up(span, UNIT)
 
 
 def down(span: int) -> int:
-    """Rounded down: what must be done in time is done no later than stated."""
-    return span // UNIT
+    return units.down(span, UNIT)
 
 
 def terms(deployment: Deployment, place: int, seed: int) -> Terms:
--- a/cedarshift/wirehost/__main__.py
+++ b/cedarshift/wirehost/__main__.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from cedarshift import units
 from cedarshift.brain import Pilot
 from cedarshift.interface import Entry, OpType, Terms
 
@@ -17,12 +18,11 @@
 
 
 def up(ns: Any) -> int:
-    """Nanoseconds to tenths of a millisecond, rounded up: waits end no sooner than stated."""
-    return -(-int(ns or 0) // UNIT)
+    return units.up(ns, UNIT)
 
 
 def down(ns: Any) -> int:
-    return int(ns or 0) // UNIT
+    return units.down(ns, UNIT)
 
 
 def entry(raw: dict) -> Entry:
--- a/tests/test_pilot.py
+++ b/tests/test_pilot.py
@@ -270,6 +270,28 @@
     sound(w)
 
 
+def test_a_reload_while_an_order_is_being_sent_lets_it_end_and_nothing_is_lost(tmp_path):
+    f = fleet(tmp_path, lines_per_s=300)
+    w, pilot, sent = Watcher(f), f.pilots["p0"], []
+    deliver = pilot._deliver
+
+    def reload_in_between(number, item):
+        deliver(number, item)
+        sent.append(number)
+        if len(sent) == 1:
+            (tmp_path / "other").mkdir()
+            write_list(tmp_path / "other", [(e, "fading" if e in "ab" else "on", "1") for e in "abcd"])
+            listed = f.deployment.listed.__class__(**{**f.deployment.listed.__dict__, "file": "other/list.json"})
+            pilot.reload(f.deployment.__class__(**{**f.deployment.__dict__, "listed": listed, "intake_per_s": 9.0}))
+    pilot._deliver = reload_in_between
+    drain(tmp_path, "a")
+    f.run(12)
+    assert sent[:3] == [0, 1, 2] and pilot.intake.per_s == 9.0
+    home = [n for n, row in f.store.charge.rows.items() if row.pilot == "p0"]
+    assert home and all(f.owners(x)[n] in "cd" for x in f.agents for n in home)
+    sound(w)
+
+
 def test_streams_that_break_at_once_are_dialled_again_and_nothing_moves(tmp_path):
     f = fleet(tmp_path)
     w, owners = Watcher(f), f.owners()
