Learning from a peer: lending, borrowing and the trust in borrowed facts

A restarted pilot knows its list and nothing else, and a list without ages makes every restarted endpoint look warm. Both sides of a handshake now prove the deployment's secret.

A ring test showed a lender getting its own sums back as another's: only first-hand sums are lent now.

--- a/cedarshift/agent/client.py
+++ b/cedarshift/agent/client.py
@@ -27,12 +27,13 @@
 
 
 class Agent:
-    """`chance()` gives [0, 1). `observe(event, **fields)` hears what came on the streams, for a record."""
+    """`chance()` gives [0, 1); `challenge()` fresh bytes for a handshake. `observe(event, **fields)` hears what came on the streams, for a record."""
 
     def __init__(self, loop: Loop, badge: Badge, pilots: dict[str, tuple[str, int]],
                  store: Optional[tuple[str, int]], tables: Tables, chance: Callable[[], float],
-                 observe: Optional[Callable[..., None]] = None) -> None:
+                 observe: Optional[Callable[..., None]] = None, challenge: Callable[[], bytes] = lambda: b"") -> None:
         self.loop = loop
+        self.challenge = challenge
         self.badge = badge
         self.pilots = pilots
         self.tables = tables
@@ -120,7 +121,7 @@
             wait = min(REDIAL_MOST, 2 * wait)
 
     def _dial(self, name: str) -> Coroutine:
-        session = Session(self.badge)
+        session = Session(self.badge, challenge=self.challenge())
         link, first = yield from connect(self.loop, self.pilots[name], session, DIAL_TIMEOUT)
         assert session.peer is not None
         if session.peer.id != name:
@@ -223,7 +224,8 @@
         wait = REDIAL_FIRST
         while True:
             try:
-                link, _ = yield from connect(self.loop, address, Session(self.badge), DIAL_TIMEOUT)
+                link, _ = yield from connect(self.loop, address, Session(self.badge, challenge=self.challenge()),
+                                             DIAL_TIMEOUT)
                 link.send(m.ReadTables(1))
                 for message in (yield from link.receive(self.loop.now() + DIAL_TIMEOUT)):
                     if isinstance(message, m.Tables):
--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -218,6 +218,11 @@
         if slice_id in self.slices:
             self.slices[slice_id].samples.append((now, ops, span, unanswered, op_type))
 
+    def on_warned(self, now: int, endpoint: str, until: int) -> None:
+        if endpoint in self.endpoints:       # a peer found it sick; what it does here is judged as ever
+            self.news, known = True, self.endpoints[endpoint]
+            known.sick_until = max(known.sick_until, until)
+
     def on_alarm(self, now: int, nonce: int) -> None:
         self.fresh = self.fresh or nonce == self.beat
 
--- a/cedarshift/codec/messages.py
+++ b/cedarshift/codec/messages.py
@@ -81,6 +81,60 @@
     reason: str
 
 
+class LentSum(Row, frozen=True, array_like=True):
+    """Sums that the lender took in: how long ago (us), then as in `Met`; `zone` is the proxies'."""
+    age: Count
+    tries: Count
+    aborted: Count
+    took: Count
+    span: Count
+    zone: Name
+
+
+class EndpointFact(Row, frozen=True, array_like=True):
+    """What a pilot knows of an endpoint. Ages are us at the lender's answering; -1 where it is not known.
+
+    `source` and `rev`: the list that said so; `confirmed`: how long ago that list last answered. `origin` is the life of
+    the pilot that heard it first-hand, `hops` how often it was borrowed since."""
+    endpoint: Name
+    phase: Name
+    start: Name
+    size: Part
+    zone: Name
+    confirmed: Count
+    told: int
+    started: int
+    sick_left: Count
+    sums: list[LentSum]
+    source: Name
+    rev: Count
+    origin: Name
+    hops: Count
+
+
+class LentHeat(Row, frozen=True, array_like=True):
+    """What came for a slice: how long ago it was heard (us), then as in `Heat`."""
+    age: Count
+    op_type: Name
+    ops: Count
+    unanswered: Count
+    span: Count
+
+
+class SliceFact(Row, frozen=True, array_like=True):
+    slice: Table
+    heats: list[LentHeat]
+    origin: Name
+    hops: Count
+
+
+class ProxyFact(Row, frozen=True, array_like=True):
+    """A proxy that is joined to the lender: its zone, and ops a second that it told of lately."""
+    id: Name
+    zone: Name
+    rate: Part
+
+
 class Message(msgspec.Struct, omit_defaults=True):
     """A frame's body."""
 
@@ -101,16 +155,19 @@
     id: str
     zone: str = ""
     proof: bytes = b""
+    challenge: bytes = b""
     minor: int = MINOR
 
 
 class Welcome(Message):
-    """The hello is taken. `session` numbers it; `lease` and `beat_every` are spans in us."""
+    """The hello is taken. `session` numbers it; `lease` and `beat_every` are spans in us. `proof`: as in the Hello, over
+    the Hello's challenge and this side's id."""
     session: int
     lease: int = 0
     beat_every: int = 0
     report_every: int = 0
     apply_cost: int = 0
+    proof: bytes = b""
 
 
 class Bye(Message):
@@ -195,6 +252,41 @@
     n: int
 
 
+class AskFacts(Message):
+    """A pilot asks another for one chunk of what it knows. `version` "" begins anew; else it goes on with that one."""
+    version: Name = ""
+    chunk: Count = 0
+
+
+class Facts(Message):
+    """One chunk. `payload` is MessagePack of a `Chunk`, compressed by zstandard where `packed`; `digest`: BLAKE2b, 16
+    bytes, of the payload as it travels."""
+    version: Name
+    chunk: Count
+    chunks: Count
+    digest: bytes
+    payload: bytes
+    packed: bool = False
+
+
+class Chunk(msgspec.Struct, array_like=True):
+    """What a payload holds. `list_age`: us since the lender's list answered last, -1 for never; `proxies` joined to it."""
+    origin: Name
+    list_age: int
+    proxies_joined: Count
+    in_charge: bool
+    level: Part
+    endpoints: list[EndpointFact] = []
+    slices: list[SliceFact] = []
+    proxies: list[ProxyFact] = []
+
+
+class NoFacts(Message):
+    """The lender declines, and says for how long (us)."""
+    reason: str
+    again_after: Count = 0
+
+
 class Leave(Message):
     """A pilot that stops gives its slices back, after it has told its proxies."""
 
@@ -241,5 +333,6 @@
     16: Snapshot, 17: Order, 18: Charge, 19: Beat, 20: BeatOk, 21: Ack, 22: Sums,
     32: Open, 33: Opened, 34: Give, 35: Take, 36: Released, 37: Commit, 38: Committed, 39: ReadTables, 40: Tables,
     41: Renew, 42: Renewed, 43: Leave,
+    48: AskFacts, 49: Facts, 50: NoFacts,
 }
 NUMBERS = {kind: number for number, kind in KINDS.items()}
--- a/cedarshift/codec/session.py
+++ b/cedarshift/codec/session.py
@@ -27,6 +27,7 @@
     ("pilot", "proxy"): (m.Snapshot, m.Order, m.Charge, m.BeatOk),
     ("pilot", "store"): (m.Open, m.Renew, m.Released, m.Commit, m.Leave),
     ("store", "pilot"): (m.Opened, m.Renewed, m.Give, m.Take, m.Committed),
+    ("pilot", "pilot"): (m.AskFacts, m.Facts, m.NoFacts),
     ("proxy", "store"): (m.ReadTables,),
     ("store", "proxy"): (m.Tables,),
 }
@@ -49,6 +50,7 @@
 class Session:
     """`admit(hello) -> Welcome` is asked by the accepting side; it raises Refused to turn a peer away.
 
+    `challenge`: fresh bytes, which the other side proves the secret over, for whichever side.
     `rate_most`: messages a second that the peer may send, 0 for no limit."""
 
     def __init__(self, badge: Badge, admit: Optional[Callable[[m.Hello], m.Welcome]] = None, challenge: bytes = b"",
@@ -133,7 +135,7 @@
         elif self.state == WAITING and isinstance(message, m.Greet):
             self._take_greet(message)
         elif self.state == HELLOED and isinstance(message, m.Welcome):
-            self.state, self.welcome = OPEN, message
+            self._take_welcome(message)
         else:
             raise OutOfOrder(f"{type(message).__name__} while {self.state}")
 
@@ -159,6 +161,7 @@
         if not hmac.compare_digest(hello.proof, proof(self.badge.secret, self.challenge, hello.id)):
             raise Refused("the proof of the deployment's secret is wrong")
         welcome = self.admit(hello)
+        welcome.proof = proof(self.badge.secret, hello.challenge, self.badge.id)
         self.peer = Badge(hello.deployment, hello.role, hello.id, hello.zone)
         self.state = OPEN
         self._say(welcome)
@@ -172,4 +175,11 @@
         self.state = HELLOED
         badge = self.badge
         self._say(m.Hello(badge.deployment, badge.role, badge.id, badge.zone,
-                          proof(badge.secret, greet.challenge, badge.id)))
+                          proof(badge.secret, greet.challenge, badge.id), self.challenge))
+
+    def _take_welcome(self, welcome: m.Welcome) -> None:
+        """The accepting side has to know the secret too: a proxy must not obey, nor a pilot believe, just anyone."""
+        assert self.peer is not None
+        if not hmac.compare_digest(welcome.proof, proof(self.badge.secret, self.challenge, self.peer.id)):
+            raise Refused("the other side's proof of the deployment's secret is wrong")
+        self.state, self.welcome = OPEN, welcome
--- a/cedarshift/deployment/deployment.py
+++ b/cedarshift/deployment/deployment.py
@@ -90,6 +90,18 @@
     tip_after: int
 
 
+@dataclass(frozen=True)
+class LearnTerms:
+    """Where it stands, pilots lend each other what they know. `sources`: pilots to ask; none: all the others."""
+    sources: tuple[str, ...]
+    span: int
+    again: int
+    patience: int
+    answer_within: int
+    lend_share: float
+    compress: bool
+
+
 @dataclass(frozen=True)
 class Deployment:
     name: str
@@ -109,6 +121,7 @@
     channel: Channel
     proxy: ProxyTerms
     rules: Guarantees
+    learn: Optional[LearnTerms] = None
 
     def beside(self, path: str) -> str:
         """A path of the file, which counts from the folder that the file lies in."""
@@ -150,12 +163,17 @@
     "ask_within": (hcl.span(), 10_000_000), "warm_within": (hcl.span(), 15_000_000),
     "cold_share": (hcl.number(0.01, 1), 1.0), "tip_multiple": (hcl.number(1), 3.0),
     "tip_after": (hcl.span(), 1_500_000)})
+LEARN = Shape({
+    "from": (hcl.texts, []), "for": (hcl.span(), 20_000_000), "again": (hcl.span(100_000), 2_000_000),
+    "patience": (hcl.span(), 2_000_000), "answer_within": (hcl.span(10_000), 2_000_000),
+    "lend_share": (hcl.number(0.001, 0.5), 0.05), "compress": (hcl.flag, True)})
 DEPLOYMENT = Shape({
     "slices": (hcl.whole(0, 60_000), MUST), "zones": (hcl.texts, []), "single_owner": (hcl.flag, True),
     "pick": (hcl.choice("even", "chance"), "even"), "levels": (hcl.choice("fraction", "none"), "fraction"),
     "intake_per_s": (hcl.number(1), 150.0), "proxies_most": (hcl.whole(1), 1_000), "secret_file": (hcl.text, "")},
     {"op_type": (OP_TYPE, 1, 1, 64), "pilot": (PILOT, 1, 1, 64), "store": (STORE, 0, 0, 1), "list": (LIST, 0, 1, 1),
-     "channel": (CHANNEL, 0, 0, 1), "proxy": (PROXY, 0, 1, 1), "rules": (RULES, 0, 0, 1)})
+     "channel": (CHANNEL, 0, 0, 1), "proxy": (PROXY, 0, 1, 1), "rules": (RULES, 0, 0, 1),
+     "learn": (LEARN, 0, 0, 1)})
 FILE = Shape({}, {"deployment": (DEPLOYMENT, 1, 1, 1)})
 
 
@@ -191,7 +209,14 @@
         single_owner=body["single_owner"] and body["slices"] > 0, pick=body["pick"], levels=body["levels"],
         intake_per_s=body["intake_per_s"], proxies_most=body["proxies_most"], secret=secret, op_types=ops,
         pilots=pilots, store=store, listed=ListSource(**body.blocks["list"][0].values),
-        channel=Channel(**_only(body, "channel", CHANNEL).values), proxy=proxy, rules=rules)
+        channel=Channel(**_only(body, "channel", CHANNEL).values), proxy=proxy, rules=rules, learn=_learn(body))
+
+
+def _learn(body: Checked) -> Optional[LearnTerms]:
+    if not body.blocks["learn"]:
+        return None
+    found = dict(body.blocks["learn"][0].values)
+    return LearnTerms(sources=tuple(found.pop("from")), span=found.pop("for"), **found)
 
 
 def _secret(body: Checked, path: str, problems: list[Problem]) -> bytes:
@@ -237,6 +262,10 @@
     for place, block in zip(pilots, body.blocks["pilot"]):
         if place.zone and place.zone not in zones:
             wrong(block.lines["zone"], f"zone {place.zone!r} is none of {', '.join(sorted(zones)) or 'the zones (none)'}")
+    for block in body.blocks["learn"]:
+        for name in block["from"]:
+            if name not in {place.name for place in pilots}:
+                wrong(block.lines["from"], f"from names {name!r}, which is no pilot")
     doors: dict[Address, str] = {}
     doors_wanted: list[tuple[Optional[Address], str, int]] = []
     for place, block in zip(pilots, body.blocks["pilot"]):
--- a/cedarshift/deployment/render.py
+++ b/cedarshift/deployment/render.py
@@ -4,7 +4,7 @@
 import dataclasses
 from typing import Any
 
-from cedarshift.deployment.deployment import (CHANNEL, LIST, OP_TYPE, PILOT, PROXY, RULES, STORE, Deployment)
+from cedarshift.deployment.deployment import (CHANNEL, LIST, OP_TYPE, PILOT, PROXY, RULES, STORE, Deployment, LearnTerms)
 from cedarshift.deployment.hcl import Shape
 
 
@@ -24,9 +24,18 @@
     for kind, shape, body in (("list", LIST, d.listed), ("channel", CHANNEL, d.channel), ("proxy", PROXY, d.proxy),
                               ("rules", RULES, d.rules)):
         out += _block(kind, shape, body)
+    if d.learn is not None:
+        out += _learn(d.learn)
     return "\n".join(out + ["}", ""])
 
 
+def _learn(learn: LearnTerms) -> list[str]:
+    rows = [f"    from = {_literal(learn.sources)}", f'    for = "{learn.span}us"', f"    lend_share = {learn.lend_share!r}",
+            f"    compress = {_literal(learn.compress)}"]
+    rows += [f'    {name} = "{getattr(learn, name)}us"' for name in ("again", "patience", "answer_within")]
+    return ["  learn {", *rows, "  }"]
+
+
 def _block(title: str, shape: Shape, body: Any) -> list[str]:
     spans = {name for name, (test, _) in shape.attributes.items() if test.__qualname__.startswith("span.")}
     rows = []
--- /dev/null
+++ b/cedarshift/judge/trust.py
@@ -0,0 +1,184 @@
+"""How far a fact that a peer lent is believed. No I/O; times are microseconds of this pilot's own clock, passed in.
+
+A fact's time is the *oldest* at which its origin can have heard it: what the lender states as its age, and all that
+passed here from the asking on. So nothing grows fresher by travelling, in a ring neither.
+
+Of what lenders say of an endpoint two things are kept a source: the newest bad news and the newest good news. Each is
+kept by a total order, so the order in which facts arrive, and how often, makes no difference. Bad news is that an
+endpoint drains, is gone, or was found sick; good news that it is on. What this pilot hears first-hand stands beside
+them, and is never mixed into what it lends as its own.
+"""
+from __future__ import annotations
+
+from typing import NamedTuple, Optional
+
+# Constants: unit, then the reason for the size.
+GOOD_HALF_LIFE = 10_000_000   # us; a list is confirmed every few seconds, so good news of 10 s ago is half a guess
+BAD_HALF_LIFE = 60_000_000    # us; believing for too long that an endpoint is bad costs room, the reverse costs rules
+SICK_HALF_LIFE = 30_000_000   # us; the module's own hold on a sick endpoint is 15 s, doubled with each strike
+HOP_SHARE = 0.7               # of the weight left by each borrowing: every hand is one that may have erred
+USE_GOOD = 0.5                # weight from which good news counts: fresh, and first-hand at the lender or nearly so
+USE_BAD = 0.1                 # weight from which bad news counts: an old warning is still one
+UNSOUND_SHARE = 0.5           # of the weight of good news left when the lender is cut off: bad news keeps its own
+LIST_LATE = 6_000_000         # us without a word from its list after which a lender counts as cut off from it
+DRIFT = 0.01                  # share by which a clock elsewhere may run slow
+DOUBT_MOST = 0.34             # share of the endpoints on this pilot's list that lenders may talk it out of: a lender
+                              # that calls more of them bad is wrong or lies, and must not empty a pool
+HOPS_MOST = 4                 # a fact handed on more often is not taken: its weight is under a quarter
+
+ON, BAD = "on", ("fading", "off")
+
+
+class Word(NamedTuple):
+    """What one source said of an endpoint's phase, ordered: newer revision, newer time, then the worse, then by name."""
+    rev: int
+    heard: int            # us
+    bad: bool
+    phase: str
+    start: str
+    hops: int
+    origin: str
+
+
+class Cold(NamedTuple):
+    """When a process was first seen to start, at the latest; the later start is the colder endpoint."""
+    started: int          # us
+    start: str
+
+
+class Ill(NamedTuple):
+    """Found sick by a pilot's sums: until when, told when."""
+    until: int
+    heard: int
+    hops: int
+    origin: str
+
+
+class Own(NamedTuple):
+    """This pilot's own entry: what its list says, and when that list last answered."""
+    phase: str
+    start: str
+    started: Optional[int]
+    rev: int
+    source: str
+    confirmed: int
+
+
+def age_of(heard: int, now: int) -> int:
+    return max(0, now - heard)
+
+
+def heard_at(asked: int, stated_age: int) -> int:
+    """The oldest time at which it can have been heard: the age, with a slow clock's part, before the asking."""
+    return asked - stated_age - int(stated_age * DRIFT)
+
+
+def weight(age: int, hops: int, half_life: int, sound: float = 1.0) -> float:
+    return 0.5 ** (age / half_life) * HOP_SHARE ** hops * sound
+
+
+class Lender(NamedTuple):
+    """What a lender says of itself, with the time at which its list had answered last, as seen from here."""
+    life: str
+    list_heard: int
+    in_charge: bool
+
+    def soundness(self, now: int) -> float:
+        """Believed by its ages, whatever else it claims."""
+        return 1.0 if age_of(self.list_heard, now) <= LIST_LATE and self.in_charge else UNSOUND_SHARE
+
+
+class Trust:
+    """All that was borrowed of the endpoints."""
+
+    def __init__(self) -> None:
+        self.good: dict[tuple[str, str], Word] = {}      # (endpoint, source)
+        self.bad: dict[tuple[str, str], Word] = {}
+        self.cold: dict[str, Cold] = {}
+        self.ill: dict[str, Ill] = {}
+        self.sound: dict[str, float] = {}                # origin -> soundness of the lender that brought it
+        self.sources: dict[str, set[str]] = {}
+
+    # ---- merging: the greatest of an order, whatever comes first
+
+    def hear_phase(self, endpoint: str, source: str, word: Word) -> None:
+        kept = self.bad if word.bad else self.good
+        if endpoint not in self.sources:
+            self.sources[endpoint] = set()
+        self.sources[endpoint].add(source)
+        kept[endpoint, source] = max(word, kept.get((endpoint, source), word))
+
+    def hear_start(self, endpoint: str, cold: Cold) -> None:
+        self.cold[endpoint] = max(cold, self.cold.get(endpoint, cold))
+
+    def hear_sick(self, endpoint: str, ill: Ill) -> None:
+        self.ill[endpoint] = max(ill, self.ill.get(endpoint, ill))
+
+    def vouch(self, origin: str, sound: float) -> None:
+        """How sound the lender was that brought this origin's facts last."""
+        self.sound[origin] = sound
+
+    # ---- judging
+
+    def good_weight(self, word: Word, now: int) -> float:
+        return weight(age_of(word.heard, now), word.hops, GOOD_HALF_LIFE, self.sound.get(word.origin, 1.0))
+
+    def bad_weight(self, word: Word, now: int) -> float:
+        return weight(age_of(word.heard, now), word.hops, BAD_HALF_LIFE)
+
+    def warning(self, endpoint: str, own: Optional[Own], now: int) -> Optional[Word]:
+        """The bad news of an endpoint that stands: fresh enough, and lifted neither by newer good news of the same source
+        nor by this pilot's own list."""
+        standing = []
+        for source in sorted(self.sources.get(endpoint, ())):
+            word = self.bad.get((endpoint, source))
+            if word is None or self.bad_weight(word, now) < USE_BAD:
+                continue
+            good = self.good.get((endpoint, source))
+            if good is not None and (good.rev, good.heard) > (word.rev, word.heard):
+                continue
+            if own is None or not self._lifted(word, source, own):
+                standing.append(word)
+        return max(standing, key=lambda w: (self.bad_weight(w, now), w), default=None)
+
+    @staticmethod
+    def _lifted(word: Word, source: str, own: Own) -> bool:
+        """First-hand news replaces borrowed news. Of one and the same list the newer revision is the newer news, whoever
+        heard it later; of different lists the later word is."""
+        if own.source == source:
+            return own.rev >= word.rev
+        return own.confirmed > word.heard
+
+    def started(self, endpoint: str, own: Own, now: int, warm_within: int) -> Optional[int]:
+        """A start that this pilot's own list does not tell of; only of the process that it lists."""
+        cold = self.cold.get(endpoint)
+        if cold is None or own.started is not None or cold.start != own.start or now - cold.started >= warm_within:
+            return None
+        return cold.started
+
+    def sick_until(self, endpoint: str, now: int) -> int:
+        """0 where no borrowed judgement stands."""
+        ill = self.ill.get(endpoint)
+        if ill is None or ill.until <= now:
+            return 0
+        return ill.until if weight(age_of(ill.heard, now), ill.hops, SICK_HALF_LIFE) >= USE_BAD else 0
+
+    def offered(self, now: int) -> dict[str, Word]:
+        """What a pilot without a list of its own may take for one: endpoints with good news that counts, no warning."""
+        found: dict[str, Word] = {}
+        for (endpoint, _), word in sorted(self.good.items()):
+            if self.good_weight(word, now) >= USE_GOOD and self.warning(endpoint, None, now) is None:
+                found[endpoint] = max(word, found.get(endpoint, word))
+        return found
+
+    def warnings(self, own: dict[str, Own], now: int) -> dict[str, Word]:
+        """The warnings that hold against this pilot's own list: all, or none where they would talk it out of more than
+        DOUBT_MOST of what it lists as on; the heaviest first, so that a few true ones are not lost among many."""
+        running = [name for name, entry in own.items() if entry.phase == ON]
+        found = {name: word for name in running if (word := self.warning(name, own[name], now)) is not None}
+        if len(found) > DOUBT_MOST * len(running):
+            return {}
+        return found
+
+
+__all__ = ["BAD", "Cold", "Ill", "Lender", "ON", "Own", "Trust", "Word", "heard_at", "weight"]
--- a/cedarshift/pilot/admin.py
+++ b/cedarshift/pilot/admin.py
@@ -21,7 +21,8 @@
 
     def collect(self):  # type: ignore[no-untyped-def]
         s = self.service
-        for name, count in s.counts.items():
+        lent = {**(s.lending.counts if s.lending else {}), **(s.learning.counts if s.learning else {})}
+        for name, count in {**s.counts, **lent}.items():
             yield CounterMetricFamily(f"cedarshift_{name}", f"{name} since the start", value=count)
         acks = sorted(s.in_force_us)
         gauges: dict[str, float] = {
@@ -51,5 +52,8 @@
             return Answer(200, generate_latest(registry), (("content-type", "text/plain; version=0.0.4"),))
         if asked.target == "/tables":
             return Answer(200, msgspec.json.encode(service.shown()), (("content-type", "application/json"),))
-        return Answer(404, b"/health, /metrics and /tables are served\n")
+        if asked.target == "/facts":
+            facts = service.learning.shown() if service.learning is not None else {}
+            return Answer(200, msgspec.json.encode(facts), (("content-type", "application/json"),))
+        return Answer(404, b"/health, /metrics, /tables and /facts are served\n")
     return answer
--- a/cedarshift/pilot/service.py
+++ b/cedarshift/pilot/service.py
@@ -17,11 +17,14 @@
 from cedarshift.codec.frames import encode, encode_order, pack_rows
 from cedarshift.deployment import Deployment
 from cedarshift.interface import Entry
+from cedarshift.judge.trust import Own, Word
 from cedarshift.link import Link, serve
 from cedarshift.loop import Listener, Loop, StreamBroken
 from cedarshift.loop.core import Coroutine, Waker
 from cedarshift.pilot.channel import PacedChannel
-from cedarshift.pilot.intake import Intake
+from cedarshift.pilot.intake import Intake, SliceHeat, ZoneMet
+from cedarshift.pilot.learning import Learning
+from cedarshift.pilot.lending import Lending
 from cedarshift.pilot.store_client import StoreClient
 from cedarshift.pilot.terms import UNIT, down, terms, up
 from cedarshift.roster import FileSource, ServiceSource
@@ -96,7 +99,16 @@
         self.in_force_us: deque[int] = deque(maxlen=10_000)
         self.journal: deque[tuple[int, tuple]] = deque(maxlen=JOURNAL_KEPT)
         self.store: Optional[StoreClient] = None
+        self.told: dict[str, Entry] = {}             # the entries as the module has them, borrowed warnings included
+        self.warned: dict[str, int] = {}             # until when peers found endpoints sick (0.1 ms)
+        self.first_hand: set[str] = set()            # endpoints of which this pilot has had sums of its own
+        self.rates: dict[int, float] = {}            # ops a second of a proxy, by its newest sums
+        life = f"{name}#{seed:016x}"
+        self.lending: Optional[Lending] = Lending(self, life) if deployment.learn else None
+        self.learning: Optional[Learning] = None
         self.source = self._source(deployment)
+        if deployment.learn is not None:
+            self.learning = Learning(self, deployment.learn, life)
         self.tasks = [loop.spawn(self._pump(), "channel"), loop.spawn(self._hand_on(), "intake"),
                       loop.spawn(serve(loop, listener, self._session, self._talk, report), "accept")]
         self._wake_up(0, 0)
@@ -125,6 +137,8 @@
             session.link.close("stopping", f"pilot {self.name} stops")
         for task in self.tasks:
             task.cancel()
+        if self.learning is not None:
+            self.learning.stop()
         self.source.stop()
         self.listener.close()
 
@@ -134,19 +148,73 @@
         if kind in ("replace", "restored"):
             self.listed = {}
         self.listed.update({e.endpoint: e for e in entries})
-        self.brain.on_list(self._now(), kind, entries)
+        seen = self._overlaid()
+        if kind in ("replace", "restored"):
+            self.told = {}
+        self.told.update({e.endpoint: seen[e.endpoint] for e in entries})
+        self.brain.on_list(self._now(), kind, [seen[e.endpoint] for e in entries])
         if kind != "unavailable":
             self.list_rev += 1
             self.report("list", kind=kind, endpoints=len(self.listed))
             self._open_store()
         self._pull()
 
+    # ---- what was borrowed from a peer; nothing here does anything where no block `learn` stands
+
+    def _overlaid(self) -> dict[str, Entry]:
+        if self.learning is None:
+            return self.listed
+        starts, confirmed = self.source.starts.known, self.source.confirmed or 0
+        own = {name: Own(entry.phase, starts.get(name, ("", None))[0], entry.started, self.source.rev, self.source.name,
+                         confirmed) for name, entry in self.listed.items()}
+        return self.learning.overlay(own, self.listed)
+
+    def tell_learnt(self) -> None:
+        """Warnings that came or went, sums, sickness: to the module, by the inputs that it has for such news."""
+        assert self.learning is not None
+        seen = self._overlaid()
+        changed = [entry for name, entry in sorted(seen.items()) if self.told.get(name) != entry]
+        now = self._now()
+        if changed:
+            self.told.update({entry.endpoint: entry for entry in changed})
+            self.brain.on_list(now, "update", changed)
+        for heard, name, one in self.learning.sums_for(self.first_hand):
+            self.brain.on_met(down(heard), name, one.zone, one.tries, min(one.aborted, one.tries), up(one.took), up(one.span))
+        running = [name for name, entry in seen.items() if entry.phase == "on"]
+        for name, until in sorted(self.learning.sick_now(running, self.first_hand).items()):
+            self.warned[name] = up(until)
+            self.brain.on_warned(now, name, up(until))
+        self._pull()
+
+    def on_borrowed_list(self, entries: list[Entry]) -> None:
+        """This pilot's own list does not come: what a sound peer knows of it is better than no charge at all."""
+        self.brain.on_list(self._now(), "update" if self.told else "restored", entries)
+        self.told.update({e.endpoint: e for e in entries})
+        self._open_store()
+
+    def trust_names(self) -> set[str]:
+        return set(self.learning.trust.sources) if self.learning is not None else set()
+
+    def borrowed_words(self, name: str) -> list[tuple[str, Word]]:
+        """What was borrowed of an endpoint's phase, by source."""
+        if self.learning is None:
+            return []
+        trust = self.learning.trust
+        return [(source, word) for source in sorted(trust.sources.get(name, ())) for kept in (trust.good, trust.bad)
+                if (word := kept.get((name, source))) is not None]
+
+    def proxy_rate(self, session: ProxySession) -> float:
+        return round(self.rates.get(session.number, 0.0), 2)
+
+    # ---- the store
+
     def _open_store(self) -> None:
         """Only with a list at hand: an owner that is in no list counts as gone, so the list has to come first."""
         place = self.deployment.store
         if self.store is None and place is not None and self.deployment.slices:
             number = [p.name for p in self.deployment.pilots].index(self.name)
-            self.store = StoreClient(self.loop, place.listen, self.badge, number, self, self.report)
+            self.store = StoreClient(self.loop, place.listen, self.badge, number, self, self.report,
+                                     self.challenge)
 
     def on_store_given(self, rows: list[m.Held]) -> None:
         now = self._now()
@@ -155,6 +223,8 @@
             self.brain.on_given(now, row.slice, True)
             if row.owner:
                 self.brain.on_held(now, row.slice, row.owner)
+            for heard, heat in self.learning.heats_for(row.slice) if self.learning is not None else ():
+                self.brain.on_heat(down(heard), row.slice, heat.op_type, heat.ops, heat.unanswered, up(heat.span))
         self.report("given", slices=len(rows))
         self._tell_all(m.Charge(given=rows))
         self._pull()
@@ -189,6 +259,13 @@
         return Session(self.badge, self._admit, self.challenge(), MESSAGES_A_SECOND)
 
     def _admit(self, hello: m.Hello) -> m.Welcome:
+        if hello.role == "pilot":
+            if self.lending is None:
+                raise Refused("this deployment's pilots share nothing: it has no block learn")
+            if hello.id == self.name:
+                raise Refused("a pilot does not learn from itself")
+            self.sessions += 1
+            return m.Welcome(self.sessions)
         if hello.id not in self.numbers and len(self.numbers) >= self.deployment.proxies_most:
             raise Refused(f"{len(self.numbers)} proxies are known, {self.deployment.proxies_most} at most")
         self.sessions += 1
@@ -196,6 +273,10 @@
         return m.Welcome(self.sessions, proxy.lease, proxy.lease // BEATS_A_LEASE, proxy.report_every, proxy.apply_cost)
 
     def _talk(self, link: Link, first: list[m.Message]) -> Coroutine:
+        if link.peer.role == "pilot":
+            assert self.lending is not None
+            yield from self.lending.serve(link, first)
+            return
         session = self._join(link)
         got = first
         try:
@@ -247,6 +328,9 @@
             now = self.loop.now()
             for met in message.met:
                 self.intake.add_met(now, session.zone, met)
+                self.first_hand.add(met.endpoint)
+            span = max((heat.span for heat in message.heat), default=0)
+            self.rates[session.number] = sum(heat.ops for heat in message.heat) * 1e6 / span if span else 0.0
             for heat in message.heat:
                 if heat.slice in self.slices and heat.op_type < len(self.deployment.op_types):
                     self.intake.add_heat(now, heat)
@@ -272,15 +356,23 @@
         """Sums to the module, a period's worth at a time."""
         while True:
             yield from self.loop.sleep(self.deployment.proxy.report_every // 2)
-            now = self._now()
-            mets, heats = self.intake.take(self.loop.now())
-            for met in mets:
-                self.brain.on_met(now, met.endpoint, met.zone, met.tries, met.aborted, up(met.took), up(met.span))
-            for heat in heats:
-                name = self.deployment.op_types[heat.op_type].name
-                self.brain.on_heat(now, heat.slice, name, heat.ops, heat.unanswered, up(heat.span))
+            self._take_sums(*self.intake.take(self.loop.now()))
             self._pull()
 
+    def _take_sums(self, mets: list[ZoneMet], heats: list[SliceHeat]) -> None:
+        """First-hand sums: to the module, and kept beside it for who may learn from this pilot. What this pilot has
+        borrowed itself is in the module too, and must not be lent as its own."""
+        now, at = self._now(), self.loop.now()
+        for met in mets:
+            self.brain.on_met(now, met.endpoint, met.zone, met.tries, met.aborted, up(met.took), up(met.span))
+            if self.lending is not None:
+                self.lending.heard_sum(at, met)
+        for heat in heats:
+            name = self.deployment.op_types[heat.op_type].name
+            self.brain.on_heat(now, heat.slice, name, heat.ops, heat.unanswered, up(heat.span))
+            if self.lending is not None:
+                self.lending.heard_heat(at, name, heat)
+
     # ---- the module's decisions
 
     def _now(self) -> int:
--- a/cedarshift/pilot/store_client.py
+++ b/cedarshift/pilot/store_client.py
@@ -30,8 +30,9 @@
 
 class StoreClient:
     def __init__(self, loop: Loop, address: tuple[str, int], badge: Badge, place: int, told: Charged,
-                 report: Callable[..., None]) -> None:
+                 report: Callable[..., None], challenge: Callable[[], bytes] = lambda: b"") -> None:
         self.loop = loop
+        self.challenge = challenge
         self.address = address
         self.badge = badge
         self.place = place
@@ -72,7 +73,8 @@
     def _follow(self) -> Coroutine:
         while True:
             try:
-                link, first = yield from connect(self.loop, self.address, Session(self.badge), DIAL_TIMEOUT)
+                link, first = yield from connect(self.loop, self.address, Session(self.badge, challenge=self.challenge()),
+                                                 DIAL_TIMEOUT)
                 yield from self._talk(link, first)
             except (StreamBroken, ProtocolError, TimedOut) as error:
                 self.report("store_lost", reason=str(error) or "silence")
--- a/cedarshift/roster/sources.py
+++ b/cedarshift/roster/sources.py
@@ -60,6 +60,9 @@
         self.report = report
         self.starts = Starts()
         self.seen: Optional[tuple[int, int, int]] = None
+        self.name = f"file:{path}"
+        self.rev = 0                         # counts the lists that were taken
+        self.confirmed: Optional[int] = None   # when the list in force was last seen to stand
         self.task: Task = loop.spawn(self._follow(), "list file")
 
     def ask(self) -> None:
@@ -78,13 +81,15 @@
             found = os.stat(self.path)
             stamp = (found.st_mtime_ns, found.st_size, found.st_ino)
             if stamp == self.seen:
+                self.confirmed = self.loop.now() if self.rev else None
                 return
             self.seen = stamp
             got = parse_list(read_file(self.path), self.path)
         except (OSError, ListRefused) as error:
             self.report("list_refused", reason=str(error))
             return
-        now = self.loop.now()
+        now = self.confirmed = self.loop.now()
+        self.rev += 1
         self.tell("replace", [self.starts.entry(now, one) for one in got.endpoints])
 
 
@@ -97,7 +102,8 @@
                  report: Callable[..., None]) -> None:
         self.loop = loop
         self.address = address
-        self.name = name
+        self.name = f"service:{address[0]}:{address[1]}"
+        self.by = name
         self.asks = asks
         self.saved = saved
         self.tell = tell
@@ -105,6 +111,7 @@
         self.starts = Starts()
         self.pool = Pool(loop, CALL_TIMEOUT)
         self.rev = 0
+        self.confirmed: Optional[int] = None   # when the service last said that the list in force stands
         self.wanted = not asks
         self.task: Task = loop.spawn(self._follow(), "list service")
 
@@ -143,10 +150,11 @@
             self.tell("restored", [self.starts.entry(now, one) for one in kept.endpoints])
 
     def _call(self) -> Coroutine:
-        target = f"/v1/endpoints?since={self.rev}&wait_ms={LONG_POLL // 1000}&by={self.name}"
+        target = f"/v1/endpoints?since={self.rev}&wait_ms={LONG_POLL // 1000}&by={self.by}"
         reply = yield from self.pool.ask(self.address, "GET", target, [], b"",
                                          self.loop.now() + LONG_POLL + CALL_TIMEOUT)
         if reply.status == 304:
+            self.confirmed = self.loop.now()
             return
         if reply.status != 200:
             raise StreamBroken(f"the list service answered {reply.status}")
@@ -154,6 +162,7 @@
         if got.kind == "update" and got.rev <= self.rev:
             return
         self.rev = got.rev
+        self.confirmed = self.loop.now()
         try:
             self.saved.keep(got)
         except OSError as error:
--- a/cedarshift/standins/proxy.py
+++ b/cedarshift/standins/proxy.py
@@ -17,6 +17,7 @@
 from cedarshift.codec import messages as m
 from cedarshift.loop import Loop, StreamBroken, TimedOut, listen
 from cedarshift.loop.core import Coroutine
+from cedarshift.loop.epoll import fresh_bytes
 from cedarshift.standins.record import Recorder
 from cedarshift.web import Answer, Asked, Pool, serve_http
 from cedarshift.web.client import NotSent
@@ -80,7 +81,8 @@
         self.shown: dict[int, tuple[str, bool, str]] = {}
         self.bare: list[int] = []
         badge = Badge(plan.deployment, "proxy", plan.name, plan.zone, plan.secret.encode())
-        self.agent = Agent(loop, badge, plan.pilots, plan.store, self.tables, self.chance.random, self._observe)
+        self.agent = Agent(loop, badge, plan.pilots, plan.store, self.tables, self.chance.random, self._observe,
+                           lambda: fresh_bytes(16))
         loop.spawn(serve_http(loop, listen(loop, plan.address), self._answer), "http")
         recorder.note("start", plan.name, plan.zone, plan.kind)
         if plan.kind == "forgetful":
--- a/tests/program.py
+++ b/tests/program.py
@@ -42,6 +42,7 @@
     report_every = "500ms"
     {proxy}
   }}
+  {learn}
 }}
 """
 
@@ -61,10 +62,10 @@
     part.rename(folder / name)
 
 
-def deployment(folder, pilots=2, slices=8, lines_per_s=6000, proxy="", endpoints="abcd"):
+def deployment(folder, pilots=2, slices=8, lines_per_s=6000, proxy="", endpoints="abcd", learn=""):
     doors = "\n".join(f'pilot "p{i}" {{ listen = "127.0.0.1:{7100 + i}" }}' for i in range(pilots))
     path = folder / "trial.hcl"
-    path.write_text(FILE.format(slices=slices, pilots=doors, lines_per_s=lines_per_s, proxy=proxy))
+    path.write_text(FILE.format(slices=slices, pilots=doors, lines_per_s=lines_per_s, proxy=proxy, learn=learn))
     write_list(folder, [(e, "on", "1") for e in endpoints])
     return load(str(path))
 
@@ -87,9 +88,9 @@
                             Badge(d.name, "store", "store", "", d.secret), [p.name for p in d.pilots],
                             place.session_lease, place.takeover, place.back_after)
 
-    def new_pilot(self, name):
+    def new_pilot(self, name, seed=7, deployment=None):
         door = listen(self.loop, self.deployment.pilot(name).listen)
-        self.pilots[name] = PilotService(self.loop, door, self.deployment, name, 7, self.loop.report)
+        self.pilots[name] = PilotService(self.loop, door, deployment or self.deployment, name, seed, self.loop.report)
         return self.pilots[name]
 
     def new_agent(self, name):
@@ -118,6 +119,8 @@
         link.stream.close()
     if hasattr(service, "brain"):
         service.source.stop()
+        if service.learning is not None:
+            service.learning.stop()
         service._pull = lambda: None
         service.pulling = True
 
