--- /dev/null
+++ b/benchmarks/lending.py
@@ -0,0 +1,105 @@
+"""What lending costs the lender: order latency with and without a borrower in one run; bytes a fact, packed or not.
+
+One process: a pilot with 70 agents and a borrower that asks for everything again and again; endpoints are drained one
+after the other, first with nobody borrowing, then with. 2,000 endpoints and 20,000 slices are lent.
+
+    python -m benchmarks.lending [--proxies 70] [--rounds 5]
+"""
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import tempfile
+import time
+from typing import Any
+
+from benchmarks.fixtures import make_agents, make_deployment, percentile, write_list
+from cedarshift.cli.daemons import open_store
+from cedarshift.codec import Badge, Session
+from cedarshift.codec import messages as m
+from cedarshift.deployment.deployment import LearnTerms
+from cedarshift.link import connect
+from cedarshift.loop import listen
+from cedarshift.loop.epoll import real_loop
+from cedarshift.pilot import PilotService
+from cedarshift.pilot.intake import SliceHeat, ZoneMet
+from cedarshift.pilot.learning import unpack
+
+ENDPOINTS, SLICES, LENT_ENDPOINTS, LENT_SLICES = 12, 96, 2_000, 20_000
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--proxies", type=int, default=70)
+    parser.add_argument("--rounds", type=int, default=5)
+    args = parser.parse_args()
+    loop = real_loop(lambda event, **fields: None)
+    with tempfile.TemporaryDirectory() as folder:
+        learn = LearnTerms((), 0, 2_000_000, 2_000_000, 2_000_000, 0.05, True)
+        d = dataclasses.replace(make_deployment(loop, folder, SLICES, ENDPOINTS, 20_000), learn=learn)
+        open_store(loop, d)
+        pilot = PilotService(loop, listen(loop, d.pilots[0].listen), d, "p0", 1, lambda event, **fields: None)
+        agents = make_agents(loop, d, args.proxies)
+        lent = {"chunks": 0, "lendings": 0}
+
+        def fill() -> None:
+            """Sums of many endpoints and slices, as a larger site would have; they are lent, not listed."""
+            assert pilot.lending is not None
+            for n in range(LENT_SLICES):
+                for k in range(4):
+                    pilot.lending.heard_heat(loop.now(), "fetch", SliceHeat(n, 0, 40 + k, n % 3, 1_000_000))
+            for n in range(LENT_ENDPOINTS):
+                for k in range(24):
+                    pilot.lending.heard_sum(loop.now(), ZoneMet(f"10.0.0.{n}:7500", "abcd"[k % 4], 30 + k, n % 4, 150_000 + n, 1_000_000))
+
+        def borrow() -> Any:
+            link, _ = yield from connect(loop, d.pilots[0].listen, Session(Badge("bench", "pilot", "p1")), 1_000_000)
+            while True:
+                version, number, chunks = "", 0, 1
+                while number < chunks:
+                    link.send(m.AskFacts(version, number))
+                    got = (yield from link.receive(loop.now() + 30_000_000))[0]
+                    assert isinstance(got, m.Facts), got
+                    unpack(got)
+                    version, number, chunks = got.version, number + 1, got.chunks
+                    lent["chunks"] += 1
+                lent["lendings"] += 1
+
+        def play() -> Any:
+            while any(not h.owner for a in agents for h in a.tables.held.values()):
+                yield from loop.sleep(50_000)
+            fill()
+            for name in ("nobody borrows", "lending all the time"):
+                pilot.in_force_us.clear()
+                loop.slowest = 0
+                for n in range(args.rounds):
+                    write_list(folder, ENDPOINTS, tuple((n + k) % ENDPOINTS for k in range(2)))
+                    yield from loop.sleep(int(1.6 * d.proxy.in_flight_most))
+                acks = [us / 1000 for us in pilot.in_force_us]
+                print(f"{name:<22} decided to acked: p50 {percentile(acks, 0.5):.1f} ms, p99 {percentile(acks, 0.99):.1f} ms, "
+                      f"max {max(acks):.1f} ms; longest step {loop.slowest / 1000:.1f} ms; {lent['chunks']} chunks", flush=True)
+                if not lent["chunks"]:
+                    loop.spawn(borrow(), "borrower")
+
+        print(f"{args.proxies} proxies, {SLICES} slices ordered, {LENT_ENDPOINTS} endpoints and {LENT_SLICES} slices lent, "
+              f"a lender's share {learn.lend_share:g}")
+        loop.run(loop.spawn(play(), "play"))
+        for packed in (False, True):
+            pilot.deployment = dataclasses.replace(d, learn=dataclasses.replace(learn, compress=packed))
+            assert pilot.lending is not None
+            plan = pilot.lending._plan("")
+            begun, size, facts, worst = time.perf_counter(), 0, 0, 0.0
+            for number in range(len(plan.parts)):
+                one = time.perf_counter()
+                chunk = pilot.lending._chunk(plan, number)
+                worst = max(worst, time.perf_counter() - one)
+                size += len(chunk.payload)
+                held = unpack(chunk)
+                facts += len(held.endpoints) + len(held.slices)
+            took = time.perf_counter() - begun
+            print(f"{'zstandard' if packed else 'plain':<10} {facts} facts in {len(plan.parts)} chunks, {size / 1024:.0f} KiB, "
+                  f"{size / facts:.0f} bytes a fact; built and read in {took:.2f} s, longest chunk {worst * 1000:.1f} ms")
+
+
+if __name__ == "__main__":
+    main()
--- a/cedarshift/cli/main.py
+++ b/cedarshift/cli/main.py
@@ -170,9 +170,10 @@
 @click.argument("file", type=click.Path())
 @click.argument("name")
 @click.option("--json", "as_json", is_flag=True, help="As JSON.")
-def tables(file: str, name: str, as_json: bool) -> None:
+@click.option("--facts", is_flag=True, help="What it has borrowed from other pilots: origin, age and weight of each fact.")
+def tables(file: str, name: str, as_json: bool, facts: bool) -> None:
     """What the running pilot NAME of a deployment FILE holds."""
-    from cedarshift.cli.tables import fetch, shown
+    from cedarshift.cli.tables import fetch, shown, shown_facts
     deployment = _load(file)
     try:
         place = deployment.pilot(name)
@@ -181,10 +182,10 @@
     if place.admin is None:
         raise click.ClickException(f"pilot {name} has no admin address in {file}")
     try:
-        held = fetch(place.admin)
+        held = fetch(place.admin, "/facts" if facts else "/tables")
     except OSError as error:
         raise click.ClickException(f"pilot {name}: {error}") from None
-    click.echo(held.decode() if as_json else shown(held))
+    click.echo(held.decode() if as_json else shown_facts(held) if facts else shown(held))
 
 
 @main.command()
--- a/cedarshift/cli/tables.py
+++ b/cedarshift/cli/tables.py
@@ -45,3 +45,19 @@
     for number, lines in held["tables"].items():
         out.append(f"table {number}: " + ", ".join(f"{end} x{weight:g}" for end, weight in sorted(lines.items())))
     return "\n".join(out)
+
+
+def shown_facts(raw: bytes) -> str:
+    held: dict[str, Any] = msgspec.json.decode(raw)
+    if not held:
+        return "nothing is borrowed: the deployment has no block learn"
+    out = ["lenders:"] + [f"  {one['origin']}: its list answered {one['list_age_s']:.1f} s ago, "
+                          f"{'in charge' if one['in_charge'] else 'not in charge'}, soundness {one['soundness']:g}"
+                          for one in held["lenders"]]
+    out.append(f"{'endpoint':<24} {'phase':<8} {'age s':>7} {'weight':>7} {'hops':>5}  origin, source")
+    out += [f"{one['endpoint']:<24} {one['phase']:<8} {one['age_s']:>7.1f} {one['weight']:>7.3f} {one['hops']:>5}  "
+            f"{one['origin']}, {one['source']} rev {one['rev']}" for one in held["phases"]]
+    out += [f"{one['endpoint']:<24} started {one['age_s']:.1f} s ago" for one in held["starts"]]
+    out += [f"{one['endpoint']:<24} found sick, {one['left_s']:.1f} s left, by {one['origin']}" for one in held["sick"]]
+    out.append(", ".join(f"{name} {count}" for name, count in held["counts"].items()))
+    return "\n".join(out)
--- a/cedarshift/pilot/learning.py
+++ b/cedarshift/pilot/learning.py
@@ -52,6 +52,11 @@
     return chunk
 
 
+def _heard(pair: tuple[int, Any]) -> int:
+    """Sums of two zones may have come at the same time; they have no order of their own."""
+    return pair[0]
+
+
 class Learning:
     """What was borrowed, and the task that borrows. `life` is this pilot's own; its facts coming back are refused."""
 
@@ -156,7 +161,7 @@
         for one in chunk.slices:
             if one.origin != self.life:
                 self.counts["facts_learnt"] += 1
-                self.heats[one.slice] = sorted((heard_at(asked_at, heat.age), heat) for heat in one.heats)
+                self.heats[one.slice] = sorted(((heard_at(asked_at, heat.age), heat) for heat in one.heats), key=_heard)
         for proxy in chunk.proxies:
             self.counts["facts_learnt"] += 1
             self.proxies[proxy.id] = (asked_at, proxy, chunk.origin)
@@ -181,7 +186,7 @@
         if fact.hops == 0:
             self.endpoints[name] = fact
             if fact.sums and name not in self.sums:
-                self.sums[name] = sorted((heard_at(asked_at, s.age), s) for s in fact.sums)
+                self.sums[name] = sorted(((heard_at(asked_at, s.age), s) for s in fact.sums), key=_heard)
 
     # ---- handing over
 
--- a/cedarshift/pilot/lending.py
+++ b/cedarshift/pilot/lending.py
@@ -20,7 +20,7 @@
 ENDPOINTS_A_CHUNK = 100   # a few ms to build and some 30 kB; an order waits no longer than for one chunk
 SLICES_A_CHUNK = 400
 PROXIES_A_CHUNK = 400
-SUMS_LENT = 6             # newest sums of an endpoint: enough for the module to tell a speed, which takes four
+SUMS_LENT = 24            # newest sums of an endpoint: half of what the module keeps, some periods from a few zones
 HEATS_LENT = 4            # newest of a slice
 KEPT = 30_000_000         # us for which a lending that broke off may go on where it stopped
 BUSY = 1_000_000          # us after its last question in which a borrower has the lender for itself
--- a/cedarshift/pilot/service.py
+++ b/cedarshift/pilot/service.py
@@ -548,6 +548,13 @@
 
     # ---- for people
 
+    def _picture(self, entry: Entry) -> dict[str, Any]:
+        """An endpoint as the module has it: `part` is its fair part by size and speed, `warmth` the share it can do."""
+        known = self.brain.endpoints[entry.endpoint]
+        return {"endpoint": entry.endpoint, "phase": entry.phase, "size": entry.size, "zone": entry.zone, "part": known.part,
+                "warmth": self.brain._warmth(known, self._now()),
+                "sick_s": max(0, known.sick_until - self._now()) / 10_000}
+
     def shown(self) -> dict[str, Any]:
         """What the pilot holds, for `cedarshift tables`."""
         return {
@@ -555,8 +562,7 @@
             "in_charge": self.in_charge(),
             "proxies": [{"id": s.name, "zone": s.zone, "seq": s.seq, "unacked": len(s.marks)}
                         for _, s in sorted(self.proxies.items())],
-            "endpoints": [{"endpoint": e.endpoint, "phase": e.phase, "size": e.size, "zone": e.zone}
-                          for _, e in sorted(self.listed.items())],
+            "endpoints": [self._picture(e) for _, e in sorted(self.told.items())],
             "slices": [{"slice": row.slice, "epoch": row.epoch, "version": row.version, "owner": row.owner,
                         "state": self.brain.slices[row.slice].state if row.slice in self.brain.slices else "",
                         "levels": [msgspec.structs.asdict(lv) for lv in row.levels]}
--- a/cedarshift/rehearsal/day.py
+++ b/cedarshift/rehearsal/day.py
@@ -52,6 +52,9 @@
     shares: dict[str, float]
     faults: tuple[Fault, ...]
     broken: tuple[str, ...]       # rules that this day breaks on purpose
+    list_ages: bool = True        # whether the list tells when processes started
+    learn: bool = False           # pilots learn from each other
+    window: tuple[int, int] = (0, 0)   # us; a stretch of the day that is told by itself
 
 
 KIND = Shape({"share": (hcl.number(0, 1000), 1.0), "cores": (hcl.whole(1, 256), 4), "speed": (hcl.number(0.01, 100), 1.0),
@@ -104,7 +107,8 @@
     "endpoints": (hcl.whole(1, 200), MUST), "proxies": (hcl.whole(1, 200), MUST), "clients": (hcl.whole(1, 16), 2),
     "rate": (hcl.number(0.1, 5_000), MUST), "work": (hcl.span(1_000), 300_000), "keys": (hcl.whole(1), 2_000),
     "zipf": (hcl.number(0, 3), 0.7), "retries": (hcl.whole(0, 5), 2), "notice": (hcl.span(), 2_000_000),
-    "add_notice": (hcl.span(), 1_500_000), "broken": (hcl.texts, [])},
+    "add_notice": (hcl.span(), 1_500_000), "broken": (hcl.texts, []),
+    "list_ages": (hcl.flag, True), "learn": (hcl.flag, False), "window_from": (hcl.span(), 0), "window_to": (hcl.span(), 0)},
     {"endpoint_kind": (KIND, 1, 0, 16), "op_share": (Shape({"share": (hcl.number(0, 1000), MUST)}), 1, 0, 64),
      "fault": (Shape({}), 1, 0, 200)})
 FILE = Shape({}, {"rehearsal": (DAY, 1, 1, 1)})
@@ -136,9 +140,11 @@
     kinds = tuple(EndpointKind(name=k.labels[0], **k.values) for k in body.blocks["endpoint_kind"]) or (
         EndpointKind("usual", 1.0, 4, 1.0, 40),)
     shares = {one.labels[0]: one["share"] for one in body.blocks["op_share"]}
-    values = {name: body[name] for name in DAY.attributes if name not in ("deployment", "broken")}
+    values = {name: body[name] for name in DAY.attributes if name not in (
+        "deployment", "broken", "window_from", "window_to")}
     day = Day(name=body.labels[0], file=path, deployment=deployment, kinds=kinds, shares=shares, faults=tuple(faults),
-              broken=tuple(body["broken"]), spare_ports=sum(
+              broken=tuple(body["broken"]),
+              window=(body["window_from"], body["window_to"]), spare_ports=sum(
                   f.values.get("count", 0) for f in faults if f.kind == "deploy"), **values)
     _agree(day, problems)
     if problems:
--- a/cedarshift/rehearsal/report.py
+++ b/cedarshift/rehearsal/report.py
@@ -17,6 +17,7 @@
 
 WINDOW = 5_000_000        # us; the rules' worst stretches are told over such windows
 LATENCY_MOST = 120_000_000
+NEAR = 0.1                # share by which two pictures may differ and count as the same
 
 
 class Served:
@@ -30,6 +31,7 @@
         self.outcomes: dict[str, Counter] = defaultdict(Counter)
         self.latencies = {name: HdrHistogram(1, LATENCY_MOST, 3) for name in self.ops}
         self.late_sends = 0
+        self.each: list[tuple[int, float, float]] = []   # (meant to begin, asked, earned)
         intended: dict[str, tuple[str, int]] = {}
         for row in evidence.of("op", "done"):
             if row.what == "op":
@@ -55,10 +57,16 @@
         self.outcomes[op_type][outcome] += 1
         self.asked[op_type] += op.earnings
         self.earned[op_type] += worth
+        self.each.append((at, op.earnings, worth))
         window = self.windows[(at - begin) // WINDOW]
         window[0] += op.earnings
         window[1] += worth
 
+    def between(self, first: int, last: int) -> tuple[float, float]:
+        """(asked, earned) of the ops meant to begin within a stretch."""
+        inside = [one for one in self.each if first <= one[0] < last]
+        return sum(a for _, a, _ in inside), sum(e for _, _, e in inside)
+
     def share(self) -> float:
         return sum(self.earned.values()) / max(1e-9, sum(self.asked.values()))
 
@@ -91,10 +99,43 @@
         "handover_gap_s": {"count": len(gaps), "p50": _of(gaps, 0.5), "p99": _of(gaps, 0.99), "max": _of(gaps, 1.0)},
         "windows": {str(n * WINDOW // 1_000_000): round(e / a, 4) if a else 0.0
                     for n, (a, e) in sorted(served.windows.items())},
+        "window": _window(day, evidence, served),
         "faults": [[round(evidence.seconds(row.at), 2), row.told[0], row.told[1]] for row in evidence.of("fault")],
     }
 
 
+def _window(day: Day, evidence: Evidence, served: Served) -> dict[str, Any]:
+    """Of the day's own stretch: service, and when the restarted pilot's picture had come within a tenth of a peer's."""
+    if not day.window[1]:
+        return {}
+    first, last = (evidence.begin + at for at in day.window)
+    asked, earned = served.between(first, last)
+    away = picture_gaps(evidence, first, last)
+    near = next((at for n, (at, gap) in enumerate(away) if all(g < NEAR for _, g in away[n:n + 4])), None)
+    return {"from_s": day.window[0] / 1e6, "to_s": day.window[1] / 1e6, "earned_share": round(earned / max(1e-9, asked), 4),
+            "picture_near_after_s": None if near is None else round((near - first) / 1e6, 2),
+            "mean_picture_gap_10_s": round(_mean([g for at, g in away if at < first + 10_000_000]), 4),
+            "sent_beyond_grace": next(v.count for v in check_all(evidence) if v.rule == "drains"),
+            "pushed_over": sum(1 for _ in evidence.of("tipped"))}
+
+
+def _mean(values: list[float]) -> float:
+    return sum(values) / len(values) if values else 0.0
+
+
+def picture_gaps(evidence: Evidence, first: int, last: int) -> list[tuple[int, float]]:
+    """p0's picture against p1's by time: what endpoints can do, as share of what p1 thinks that all can."""
+    newest: dict[str, dict[str, float]] = {}
+    gaps = []
+    for row in evidence.of("picture"):
+        newest[row.told[0]] = {name: part * warmth * (phase == "on") for name, (part, warmth, phase) in row.told[1].items()}
+        if row.told[0] == "p0" and first <= row.at < last and "p1" in newest:
+            mine, theirs = newest["p0"], newest["p1"]
+            away = sum(abs(mine.get(name, 0.0) - theirs.get(name, 0.0)) for name in {*mine, *theirs})
+            gaps.append((row.at, away / max(1e-9, sum(theirs.values()))))
+    return gaps
+
+
 def _rule(v: Verdict) -> dict[str, Any]:
     return {"rule": v.rule, "says": v.says, "held": v.held, "breaks": v.count, "first": v.breaks, "figures": v.figures}
 
--- a/cedarshift/rehearsal/run.py
+++ b/cedarshift/rehearsal/run.py
@@ -92,9 +92,21 @@
             say(f"{(loop.now() - hall.begin) / 1e6:6.1f} s of {day.length / 1e6:g} s")
         if not any(stage.fleet.alive(c) for c in clients):
             break
+        if day.window[1]:
+            yield from _note_pictures(stage)
     hall.end = loop.now()
 
 
+def _note_pictures(stage: Stage) -> Coroutine:
+    """What each pilot's module makes of the endpoints, by its page; for figures beside the rules, never for a rule."""
+    for name in stage.pilots:
+        reply = yield from stage.fleet.ask(f"{name}-admin", "/tables")
+        if reply is not None and reply.status == 200:
+            rows = msgspec.json.decode(reply.body)["endpoints"]
+            stage.recorder.note("picture", name, {e["endpoint"]: [round(e["part"], 4), round(e["warmth"], 4), e["phase"]]
+                                                  for e in rows})
+
+
 def _all_owned(stage: Stage) -> Coroutine:
     """Until the pilots together hold every slice with an owner."""
     until = stage.loop.now() + WARM_MOST
--- a/cedarshift/rehearsal/stage.py
+++ b/cedarshift/rehearsal/stage.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from cedarshift.deployment import Deployment
+from cedarshift.deployment.deployment import LearnTerms
 from cedarshift.loop import Loop
 from cedarshift.loop.core import Coroutine
 from cedarshift.rehearsal.day import Day, EndpointKind, Fault
@@ -17,6 +18,7 @@
 from cedarshift.standins.record import Recorder
 from cedarshift.standins.relay import RelayPlan
 
+LEARNT = LearnTerms((), 20_000_000, 2_000_000, 2_000_000, 2_000_000, 0.05, True)
 ROOMY = 1e9               # a channel without limits, for the day that breaks rules on purpose
 
 
@@ -30,7 +32,8 @@
         self.recorder = Recorder(loop, self.fleet.path("record-runner.jsonl"))
         self.ports = Ports(loop)
         self.list_address = self.ports.take()
-        self.deployment: Deployment = placed(day.deployment, self.ports, folder, self.list_address)
+        deployment = dataclasses.replace(day.deployment, learn=LEARNT) if day.learn else day.deployment
+        self.deployment: Deployment = placed(deployment, self.ports, folder, self.list_address)
         self.zones = list(self.deployment.zones) or [""]
         self.pilots = [p.name for p in self.deployment.pilots]
         self.proxies = [f"x{n}" for n in range(day.proxies)]
@@ -92,7 +95,7 @@
         """Starts all but the clients and waits until every slice has an owner at every proxy."""
         fleet, store = self.fleet, self.deployment.store
         assert store is not None
-        fleet.standin("list", "lists", ListPlan(self.list_address), self.list_address)
+        fleet.standin("list", "lists", ListPlan(self.list_address, self.day.list_ages), self.list_address)
         for name in list(self.endpoints):
             self.start_endpoint(name, cold=False)
         main = write_deployment(self.deployment, fleet.path("deployment.hcl"))
--- a/cedarshift/roster/entries.py
+++ b/cedarshift/roster/entries.py
@@ -63,14 +63,21 @@
 
     def __init__(self) -> None:
         self.known: dict[str, tuple[str, Optional[int]]] = {}
+        self.primed = False                  # a whole list was taken
+
+    def entries(self, now: int, listed: list[Listed]) -> list[Entry]:
+        made = [self.entry(now, one) for one in listed]
+        self.primed = True
+        return made
 
     def entry(self, now: int, one: Listed) -> Entry:
-        """`now` in us. A process first seen with no age counts as started long ago; a changed one as started now."""
+        """`now` in us. Without an age, what stands in the first list counts as started long ago; what comes or changes
+        later counts as started now: it may be cold, and nothing says that it is not."""
         before = self.known.get(one.endpoint)
         if before is None or before[0] != one.start:
             if one.age_ms is not None:
                 started: Optional[int] = max(1, (now - one.age_ms * 1000) // UNIT)
             else:
-                started = None if before is None else now // UNIT
+                started = now // UNIT if self.primed else None
             self.known[one.endpoint] = (one.start, started)
         return Entry(one.endpoint, one.phase, one.size, one.zone, self.known[one.endpoint][1])
--- a/cedarshift/roster/sources.py
+++ b/cedarshift/roster/sources.py
@@ -90,7 +90,7 @@
             return
         now = self.confirmed = self.loop.now()
         self.rev += 1
-        self.tell("replace", [self.starts.entry(now, one) for one in got.endpoints])
+        self.tell("replace", self.starts.entries(now, got.endpoints))
 
 
 class ServiceSource:
@@ -147,7 +147,7 @@
             return
         if kept is not None:
             now = self.loop.now()
-            self.tell("restored", [self.starts.entry(now, one) for one in kept.endpoints])
+            self.tell("restored", self.starts.entries(now, kept.endpoints))
 
     def _call(self) -> Coroutine:
         target = f"/v1/endpoints?since={self.rev}&wait_ms={LONG_POLL // 1000}&by={self.by}"
@@ -168,4 +168,4 @@
         except OSError as error:
             self.report("list_not_saved", reason=str(error))
         now = self.loop.now()
-        self.tell(got.kind, [self.starts.entry(now, one) for one in got.endpoints])
+        self.tell(got.kind, self.starts.entries(now, got.endpoints))
--- a/cedarshift/standins/lists.py
+++ b/cedarshift/standins/lists.py
@@ -5,7 +5,7 @@
 """
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, Optional
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
@@ -18,7 +18,9 @@
 
 
 class ListPlan(msgspec.Struct):
+    """`ages`: whether the list tells when a process started, or only that it is another one."""
     address: tuple[str, int]
+    ages: bool = True
 
 
 class ListService:
@@ -27,6 +29,7 @@
     def __init__(self, loop: Loop, plan: ListPlan, recorder: Recorder) -> None:
         self.loop = loop
         self.recorder = recorder
+        self.plan = plan
         self.rev = 0
         self.entries: dict[str, dict[str, Any]] = {}
         self.changed_at: dict[str, int] = {}
@@ -64,7 +67,9 @@
         self.recorder.note("told", by, self.rev, [[e["endpoint"], e["phase"], e["start"]] for e in changed])
         return Answer(200, msgspec.json.encode(WholeList(rows, "update" if since else "replace", self.rev)))
 
-    def _age(self, entry: dict[str, Any]) -> int:
+    def _age(self, entry: dict[str, Any]) -> Optional[int]:
+        if not self.plan.ages:
+            return None
         return max(0, self.loop.now() - entry["born_us"]) // 1000
 
     def _control(self, order: dict[str, Any]) -> None:
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -54,7 +54,8 @@
     assert changes(load("examples/lone.hcl"), load(str(path))) == (["intake_per_s"], ["slices"])
 
 
-@pytest.mark.parametrize("name", ["quiet", "bad-day", "cyclone-morning", "broken"])
+@pytest.mark.parametrize("name", ["quiet", "bad-day", "cyclone-morning", "broken", "newcomer-cold", "newcomer-taught",
+                                  "newcomer-spared"])
 def test_the_days_that_come_with_the_program_are_sound(name):
     assert load_day(name).name == name
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -84,7 +84,8 @@
 
 def test_a_start_is_worked_out_once_and_never_wavers():
     s = Starts()
-    assert s.entry(50 * SECOND, Listed("a", start="1")).started is None
+    assert [e.started for e in s.entries(50 * SECOND, [Listed("a", start="1")])] == [None]
+    assert s.entry(55 * SECOND, Listed("c", start="1")).started == 550_000    # it came later: it may be cold
     first = s.entry(60 * SECOND, Listed("b", start="1", age_ms=2_000)).started
     assert first == 580_000
     assert s.entry(61 * SECOND, Listed("b", start="1", age_ms=3_007)).started == first
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -72,6 +72,15 @@
     assert len(p1.brain.endpoints["a"].samples) == 4     # and the lender does not get its own words back
 
 
+def test_sums_of_two_zones_that_came_at_once_have_no_order_of_their_own(tmp_path):
+    f = fleet(tmp_path)
+    sums = [m.LentSum(5, 1, 0, 1, 1, zone) for zone in "zy"]
+    fact = m.EndpointFact("a", "on", "1", 1.0, "z", 0, -1, -1, 0, sums, "l", 99, "p1#y", 0)
+    slices = [m.SliceFact(0, [m.LentHeat(5, kind, 1, 0, 1) for kind in ("put", "get")], "p1#y", 0)]
+    f.pilots["p0"].learning._take("p1", m.Chunk("p1#y", 0, 1, True, 1.0, [fact], slices), f.loop.now())
+    assert len(f.pilots["p0"].brain.endpoints["a"].samples) == 2
+
+
 def test_a_sickness_is_learnt_and_first_hand_sums_stand_against_it(tmp_path):
     f = fleet(tmp_path)
     p1 = f.pilots["p1"]
