--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	$(BIN)/python -m benchmarks.orders
 	$(BIN)/python -m benchmarks.handover
 	$(BIN)/python -m benchmarks.footprint
+	$(BIN)/python -m benchmarks.lending
 
 check: setup
 	$(BIN)/mypy
--- a/cedarshift/rehearsal/day.py
+++ b/cedarshift/rehearsal/day.py
@@ -96,6 +96,8 @@
     "slow_link": ("ops between a zone's proxies and another zone's endpoints take longer",
                   {**AT, **FOR, "from": (hcl.text, MUST), "to": (hcl.text, MUST), "delay": (hcl.span(1_000, 5_000_000), MUST)}),
     "list_unreachable": ("the list service does not answer", {**AT, **FOR}),
+    "cut_list": ("a pilot does not reach the list service",
+                 {**AT, **FOR, **WHICH, "how": (hcl.choice("drop", "refuse"), "refuse")}),
     "list_wrong": ("the list calls `count` running endpoints gone", {**AT, **FOR, **COUNT}),
     "bad_proxy": ("a proxy of a broken kind takes the place of a plain one; for seeing the checkers fire",
                   {**AT, **WHICH, "how": (hcl.choice("deaf", "forgetful", "pushy"), MUST)}),
@@ -174,7 +176,7 @@
             problems.append(Problem(day.file, 0, f"op_share {name!r} is no op type of {day.deployment.file}"))
     limits = {"kill_proxy": day.proxies, "pause_proxy": day.proxies, "kill_endpoint": day.endpoints, "hang": day.endpoints, "bad_proxy": day.proxies,
               "kill_pilot": len(day.deployment.pilots), "kill_pilot_in_order": len(day.deployment.pilots),
-              "pause_pilot": len(day.deployment.pilots), "cut_store": len(day.deployment.pilots)}
+              "pause_pilot": len(day.deployment.pilots), "cut_store": len(day.deployment.pilots), "cut_list": len(day.deployment.pilots)}
     for fault in day.faults:
         if fault.at >= day.length:
             problems.append(Problem(day.file, fault.line, f"fault {fault.kind} begins after the day's end"))
--- a/cedarshift/rehearsal/faults.py
+++ b/cedarshift/rehearsal/faults.py
@@ -94,6 +94,9 @@
     def _cut_store(self, v: dict[str, Any]) -> Coroutine:
         yield from self._links([f"p{v['which']}>store"], v["how"], v["for"])
 
+    def _cut_list(self, v: dict[str, Any]) -> Coroutine:
+        yield from self._links([f"p{v['which']}>list"], v["how"], v["for"])
+
     # ---- proxies and links
 
     def _links(self, names: list[str], mode: str, span: int, delay: int = 0) -> Coroutine:
--- a/cedarshift/rehearsal/stage.py
+++ b/cedarshift/rehearsal/stage.py
@@ -111,10 +111,11 @@
         yield from fleet.ready(self.endpoints + self.pilots + self.proxies)
 
     def _seen_by(self, pilot: str) -> Deployment:
-        """A pilot reaches the store by its relay."""
+        """A pilot reaches the store and the list by relays."""
         assert self.deployment.store is not None
         store = dataclasses.replace(self.deployment.store, listen=self.doors[f"{pilot}>store"])
-        seen = dataclasses.replace(self.deployment, store=store)
+        listed = dataclasses.replace(self.deployment.listed, service=self.doors[f"{pilot}>list"])
+        seen = dataclasses.replace(self.deployment, store=store, listed=listed)
         if any(f.kind == "loose_pilots" for f in self.day.faults):
             loose = dataclasses.replace(seen.channel, lines_waiting_most=ROOMY, messages_most=0)
             seen = dataclasses.replace(seen, channel=loose)
@@ -124,6 +125,7 @@
         links: dict[str, tuple[tuple[str, int], tuple[str, int]]] = {}
         for place in self.deployment.pilots:
             links[f"{place.name}>store"] = (self.ports.take(), store)
+            links[f"{place.name}>list"] = (self.ports.take(), self.list_address)
             for name in self.proxies:
                 links[f"{name}>{place.name}"] = (self.ports.take(), place.listen)
         self.doors = {name: door for name, (door, _) in links.items()}
--- a/cedarshift/roster/entries.py
+++ b/cedarshift/roster/entries.py
@@ -26,9 +26,12 @@
 
 
 class WholeList(msgspec.Struct):
+    """`name`: which list this is, and which life of the service that counts its `rev`s; two pilots that are told the same
+    name can compare what they have seen."""
     endpoints: list[Listed]
     kind: str = "replace"
     rev: int = 0
+    name: str = ""
 
 
 DECODER = msgspec.json.Decoder(WholeList)
--- a/cedarshift/roster/sources.py
+++ b/cedarshift/roster/sources.py
@@ -162,6 +162,8 @@
         if got.kind == "update" and got.rev <= self.rev:
             return
         self.rev = got.rev
+        if got.name:
+            self.name = f"list:{got.name}"
         self.confirmed = self.loop.now()
         try:
             self.saved.keep(got)
--- a/cedarshift/standins/lists.py
+++ b/cedarshift/standins/lists.py
@@ -30,6 +30,7 @@
         self.loop = loop
         self.recorder = recorder
         self.plan = plan
+        self.name = f"stand-in#{loop.now():x}"   # a restart counts its revisions anew
         self.rev = 0
         self.entries: dict[str, dict[str, Any]] = {}
         self.changed_at: dict[str, int] = {}
@@ -65,7 +66,7 @@
         changed = [e for name, e in sorted(self.entries.items()) if self.changed_at[name] > since]
         rows = [Listed(e["endpoint"], e["phase"], e["size"], e["zone"], e["start"], self._age(e)) for e in changed]
         self.recorder.note("told", by, self.rev, [[e["endpoint"], e["phase"], e["start"]] for e in changed])
-        return Answer(200, msgspec.json.encode(WholeList(rows, "update" if since else "replace", self.rev)))
+        return Answer(200, msgspec.json.encode(WholeList(rows, "update" if since else "replace", self.rev, self.name)))
 
     def _age(self, entry: dict[str, Any]) -> Optional[int]:
         if not self.plan.ages:
