--- a/cedarshift/standins/relay.py
+++ b/cedarshift/standins/relay.py
@@ -77,7 +77,7 @@
                     continue
                 if way.delay:
                     yield from self.loop.sleep(way.delay)
-                if back and self.armed:
+                if back and self.armed and name.split(">")[1] in self.armed:   # a proxy's link: it carries frames
                     buffer += data
                     data = self._until_sprung(name.split(">")[1], buffer)
                 if data:
