A lender's chunk can't unpack to more than its bound

The compression library heeds max_output_size only where a frame does not state its own size; a small chunk that states a large one was unpacked whole. The stated size is checked first now, and the tests send a valid chunk of twenty mebibytes both ways.

--- a/cedarshift/pilot/learning.py
+++ b/cedarshift/pilot/learning.py
@@ -40,6 +40,9 @@
     payload = facts.payload
     if facts.packed:
         try:
+            # The library heeds its own bound only where the frame does not state its size.
+            if zstandard.frame_content_size(payload) > PAYLOAD_MOST:
+                raise Rejected(f"chunk {facts.chunk}: over {PAYLOAD_MOST} bytes when unpacked")
             payload = zstandard.ZstdDecompressor().decompress(payload, max_output_size=PAYLOAD_MOST)
         except zstandard.ZstdError as error:
             raise Rejected(f"chunk {facts.chunk}: {error}") from None
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -248,7 +248,7 @@
     (lambda f: m.Facts(f.version, 0, 1, digest(b"junk"), b"junk", True), "chunk 0"),
     (lambda f: m.Facts(f.version, 0, 1, digest(b"\xc1"), b"\xc1", False), "chunk 0"),
     (lambda f: m.Facts(f.version, 5, 2, f.digest, f.payload, f.packed), "5 of 2"),
-    (lambda f: bomb(f), "chunk 0")])
+    (lambda f: bomb(f, True), "over 8388608 bytes"), (lambda f: bomb(f, False), "chunk 0")])
 def test_lies_in_the_frame_are_refused_with_the_reason(tmp_path, spoil, reason):
     f = fleet(tmp_path)
     plan = f.pilots["p1"].lending._plan("")
@@ -263,9 +263,12 @@
     return hashlib.blake2b(payload, digest_size=16).digest()
 
 
-def bomb(f):
+def bomb(f, states_its_size):
+    """Twenty mebibytes of a valid chunk in a few bytes."""
+    import msgspec
     import zstandard
-    payload = zstandard.ZstdCompressor().compress(b"\0" * (20 << 20))
+    chunk = m.Chunk("p1#z", 0, 1, True, 1.0, slices=[m.SliceFact(1, [], "p1#z" + "z" * 200, 0)] * 100_000)
+    payload = zstandard.ZstdCompressor(write_content_size=states_its_size).compress(msgspec.msgpack.encode(chunk))
     return m.Facts(f.version, 0, 1, digest(payload), payload, True)
 
 
