--- a/cedarshift/rehearsal/run.py
+++ b/cedarshift/rehearsal/run.py
@@ -75,8 +75,8 @@
         f"{day.deployment.slices} slices, {day.rate:g} ops/s for {day.length / 1e6:g} s; seed {stage.seed}")
     yield from stage.raise_curtain()
     yield from _all_owned(stage)
-    clients = stage.start_clients(loop.now() + LEAD)
     hall.begin = loop.now() + LEAD
+    clients = stage.start_clients(hall.begin)
     stage.recorder.note("begin", day.name, stage.seed)
     say("every slice has an owner; the day begins")
     Faults(stage, day, lambda text: say(f"{(loop.now() - hall.begin) / 1e6:6.1f} s  {text}")).spawn_all(hall.begin)
