--- a/cedarshift/rehearsal/days/newcomer-alone.hcl
+++ b/cedarshift/rehearsal/days/newcomer-alone.hcl
@@ -1,6 +1,6 @@
 # As newcomer-misled, but pilots share nothing: what the misled one must not be worse than.
 rehearsal "newcomer-alone" {
-  deployment  = "deployment-newcomer.hcl"
+  deployment  = "deployment-tiles.hcl"
   length      = "52s"
   endpoints   = 10
   proxies     = 6
--- a/cedarshift/rehearsal/days/newcomer-cold.hcl
+++ b/cedarshift/rehearsal/days/newcomer-cold.hcl
@@ -1,6 +1,6 @@
 # A pilot restarted in a rolling deploy; the list tells no ages, and pilots share nothing.
 rehearsal "newcomer-cold" {
-  deployment  = "deployment-newcomer.hcl"
+  deployment  = "deployment-tiles.hcl"
   length      = "52s"
   endpoints   = 10
   proxies     = 6
--- a/cedarshift/rehearsal/days/newcomer-misled.hcl
+++ b/cedarshift/rehearsal/days/newcomer-misled.hcl
@@ -1,6 +1,6 @@
 # As newcomer-taught, but the pilot that teaches has been cut off from its list since 3 s.
 rehearsal "newcomer-misled" {
-  deployment  = "deployment-newcomer.hcl"
+  deployment  = "deployment-tiles.hcl"
   length      = "52s"
   endpoints   = 10
   proxies     = 6
--- a/cedarshift/rehearsal/days/newcomer-spared.hcl
+++ b/cedarshift/rehearsal/days/newcomer-spared.hcl
@@ -1,6 +1,6 @@
 # As newcomer-cold, but the pilot is never killed: the best that a newcomer could have won.
 rehearsal "newcomer-spared" {
-  deployment  = "deployment-newcomer.hcl"
+  deployment  = "deployment-tiles.hcl"
   length      = "52s"
   endpoints   = 10
   proxies     = 6
--- a/cedarshift/rehearsal/days/newcomer-taught.hcl
+++ b/cedarshift/rehearsal/days/newcomer-taught.hcl
@@ -1,6 +1,6 @@
 # As newcomer-cold, but the restarted pilot learns from the one that ran on.
 rehearsal "newcomer-taught" {
-  deployment  = "deployment-newcomer.hcl"
+  deployment  = "deployment-tiles.hcl"
   length      = "52s"
   endpoints   = 10
   proxies     = 6
