--- a/cedarshift/agent/client.py
+++ b/cedarshift/agent/client.py
@@ -163,7 +163,7 @@
                 self.tables.on_lease(name, asked_at)
         elif isinstance(message, m.Order):
             rows = len(message.lines) + len(message.levels)
-            self.observe("order", pilot=name, seq=message.seq, waited=message.waited, rows=rows, mark=message.mark)
+            self.observe("order", pilot=name, order=message)
             if cost and rows:                # the proxy stands still for the stated cost a line
                 self.frozen_until = max(now, self.frozen_until) + cost * rows
                 yield from self.loop.sleep(self.frozen_until - now)
@@ -172,9 +172,11 @@
             if message.mark is not None:
                 link.send(m.Ack(message.mark))
         elif isinstance(message, m.Snapshot):
+            self.observe("held", pilot=name, rows=message.slices)
             self.tables.on_snapshot(now, name, message)
             self._in_force(name)
         elif isinstance(message, m.Charge):
+            self.observe("held", pilot=name, rows=message.given)
             self.tables.on_charge(now, name, message)
             self._in_force(name)
 
--- /dev/null
+++ b/cedarshift/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: sub-commands, logging, and the processes that they run."""
--- /dev/null
+++ b/cedarshift/cli/daemons.py
@@ -0,0 +1,117 @@
+"""The pilot and the store as processes: started, reloaded and stopped by signals."""
+from __future__ import annotations
+
+import signal
+import sqlite3
+from typing import Any, Callable, Optional
+
+from cedarshift.codec import Badge
+from cedarshift.deployment import Deployment, FileRefused, load
+from cedarshift.deployment.deployment import changes
+from cedarshift.loop import Loop, listen
+from cedarshift.loop.core import Coroutine, Task
+from cedarshift.loop.epoll import Signals, fresh_bytes, real_loop
+from cedarshift.pilot import PilotService
+from cedarshift.pilot.admin import admin_page
+from cedarshift.store.ledger import Ledger
+from cedarshift.store.service import StoreService
+from cedarshift.web import serve_http
+
+Report = Callable[..., None]
+LAST_WORDS = 300_000      # us for the last frames to leave after a stop
+CHALLENGE = 16            # bytes
+
+
+def open_store(loop: Loop, deployment: Deployment) -> StoreService:
+    """Raises Damaged if the file can't be trusted, OSError if the address is taken."""
+    place = deployment.store
+    if place is None:
+        raise ValueError(f"{deployment.file} has no block store")
+    ledger = Ledger(deployment.beside(place.path), deployment.name, deployment.slices)
+    badge = Badge(deployment.name, "store", "store", "", deployment.secret)
+    return StoreService(loop, listen(loop, place.listen), ledger, badge, [p.name for p in deployment.pilots],
+                        place.session_lease, place.takeover, place.back_after, lambda: fresh_bytes(CHALLENGE))
+
+
+def _until_stopped(loop: Loop, signals: Signals, reload: Callable[[], None], fatal: Optional[Task]) -> Coroutine:
+    """SIGHUP reloads; SIGTERM and SIGINT stop; a store that can't write stops too, since its memory is ahead of its disk."""
+    def watch_fatal() -> Coroutine:
+        assert fatal is not None
+        try:
+            yield from fatal.join()
+        except sqlite3.Error as error:
+            loop.report("store_failed", reason=str(error))
+            failed.append(error)
+            signals.came.append(signal.SIGTERM)
+            if signals.waiting is not None:
+                signals.waiting.wake()
+    failed: list[Exception] = []
+    if fatal is not None:
+        loop.spawn(watch_fatal(), "store watch")
+    while True:
+        number = yield from signals.next()
+        if number != signal.SIGHUP:
+            return 1 if failed else 0
+        reload()
+
+
+def run_store(deployment: Deployment, report: Report) -> int:
+    loop = real_loop(report)
+    signals = Signals(loop, loop.network, [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])  # type: ignore[arg-type]
+    service = open_store(loop, deployment)
+    report("store_serves", address=service.listener.address, slices=deployment.slices)
+
+    def main() -> Coroutine:
+        code = yield from _until_stopped(loop, signals, lambda: report("reload_refused", reason="a store has nothing "
+                                                                       "that may change while it runs"), service.tasks[0])
+        service.stop()
+        yield from loop.sleep(LAST_WORDS // 3)
+        return code
+    return loop.run(loop.spawn(main(), "main"))
+
+
+def reloaded(deployment: Deployment, report: Report) -> Optional[Deployment]:
+    """The deployment as its file says now; None, with the reason told, where it may not be taken over."""
+    try:
+        new = load(deployment.file)
+    except (OSError, FileRefused) as error:
+        report("reload_refused", reason=str(error))
+        return None
+    may, must_not = changes(deployment, new)
+    if must_not:
+        report("reload_refused", reason=f"{', '.join(must_not)} can't change while a pilot runs; restart it")
+        return None
+    report("reloaded", changed=may)
+    return new
+
+
+def run_pilot(deployment: Deployment, name: str, report: Report) -> int:
+    loop = real_loop(report)
+    signals = Signals(loop, loop.network, [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])  # type: ignore[arg-type]
+    place = deployment.pilot(name)
+    embedded = deployment.store is not None and deployment.store.embedded
+    store = open_store(loop, deployment) if embedded else None
+    seed = int.from_bytes(fresh_bytes(8), "big")
+    service = PilotService(loop, listen(loop, place.listen), deployment, name, seed, report,
+                           lambda: fresh_bytes(CHALLENGE))
+    if place.admin is not None:
+        loop.spawn(serve_http(loop, listen(loop, place.admin), admin_page(service)), "admin")
+    report("pilot_serves", address=place.listen, proxies_most=deployment.proxies_most)
+
+    def reload() -> None:
+        new = reloaded(service.deployment, report)
+        if new is not None:
+            service.reload(new)
+
+    def main() -> Coroutine:
+        code = yield from _until_stopped(loop, signals, reload, store.tasks[0] if store else None)
+        service.stop()
+        yield from loop.sleep(LAST_WORDS)
+        if store is not None:
+            store.stop()
+        report("pilot_stopped")
+        return code
+    return loop.run(loop.spawn(main(), "main"))
+
+
+__all__ = ["Any", "run_pilot", "run_store"]
--- /dev/null
+++ b/cedarshift/cli/main.py
@@ -0,0 +1,190 @@
+"""`cedarshift`: the sub-commands."""
+from __future__ import annotations
+
+import sys
+from typing import Any, Optional
+
+import click
+
+from cedarshift.cli.log import make_report
+from cedarshift.deployment import Deployment, FileRefused, load
+
+VERSION = "0.2.0"
+
+
+def _load(path: str) -> Deployment:
+    try:
+        return load(path)
+    except (OSError, FileRefused) as error:
+        raise click.ClickException(str(error)) from None
+
+
+@click.group()
+@click.option("--log", type=click.Choice(["console", "json"]), default="console", help="Form of the log lines.")
+@click.pass_context
+def main(context: click.Context, log: str) -> None:
+    """A control service: publishes to plain proxies which endpoint owns which slice, and keeps doing so while things fail."""
+    context.obj = log
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+@click.argument("name")
+@click.pass_context
+def pilot(context: click.Context, file: str, name: str) -> None:
+    """Run the pilot NAME of a deployment FILE. SIGTERM stops it, SIGHUP reloads what may change."""
+    from cedarshift.cli.daemons import run_pilot
+    from cedarshift.store.ledger import Damaged
+    deployment = _load(file)
+    try:
+        deployment.pilot(name)
+        sys.exit(run_pilot(deployment, name, make_report(context.obj, pilot=name)))
+    except KeyError as error:
+        raise click.ClickException(error.args[0]) from None
+    except (OSError, Damaged) as error:
+        raise click.ClickException(str(error)) from None
+
+
+@main.group()
+def store() -> None:
+    """The durable store of a deployment's tables."""
+
+
+@store.command()
+@click.argument("file", type=click.Path())
+@click.pass_context
+def serve(context: click.Context, file: str) -> None:
+    """Serve the store of a deployment FILE to its pilots and proxies."""
+    from cedarshift.cli.daemons import run_store
+    from cedarshift.store.ledger import Damaged
+    try:
+        sys.exit(run_store(_load(file), make_report(context.obj, store=True)))
+    except (OSError, ValueError, Damaged) as error:
+        raise click.ClickException(str(error)) from None
+
+
+def _ledger_path(deployment: Deployment) -> str:
+    if deployment.store is None:
+        raise click.ClickException(f"{deployment.file} has no block store")
+    return deployment.beside(deployment.store.path)
+
+
+@store.command()
+@click.argument("file", type=click.Path())
+@click.argument("target", type=click.Path())
+def backup(file: str, target: str) -> None:
+    """Copy the store's file to TARGET, whole, while the store goes on."""
+    from cedarshift.store.ledger import Damaged, Ledger
+    deployment = _load(file)
+    try:
+        ledger = Ledger(_ledger_path(deployment), deployment.name, deployment.slices)
+        rows = ledger.load()
+        ledger.backup(target)
+        ledger.close()
+    except (OSError, Damaged) as error:
+        raise click.ClickException(str(error)) from None
+    click.echo(f"{target}: {len(rows)} slices")
+
+
+@store.command()
+@click.argument("file", type=click.Path())
+@click.option("--from", "source", required=True, type=click.Path(exists=True), help="A backup.")
+def restore(file: str, source: str) -> None:
+    """Put a backup in the place of a damaged store file. No owner is taken over: the pilots find them anew."""
+    from cedarshift.store.ledger import Damaged
+    from cedarshift.store.ledger import restore as put_back
+    deployment = _load(file)
+    try:
+        count = put_back(_ledger_path(deployment), source, deployment.name, deployment.slices)
+    except (OSError, Damaged) as error:
+        raise click.ClickException(str(error)) from None
+    click.echo(f"{count} slices restored without owners; the file of before is kept beside it as .damaged")
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+def check(file: str) -> None:
+    """Check a deployment FILE, or a rehearsal's; every error is told with its line and with what is allowed."""
+    from cedarshift.rehearsal.day import load_day
+    try:
+        with open(file, encoding="utf-8") as source:
+            rehearsal = any(line.startswith("rehearsal ") for line in source)
+        if rehearsal:
+            day = load_day(file)
+            click.echo(f"{file}: rehearsal {day.name}, {len(day.faults)} faults, sound")
+        else:
+            deployment = load(file)
+            click.echo(f"{file}: deployment {deployment.name}, {deployment.slices} slices, "
+                       f"{len(deployment.pilots)} pilots, sound")
+    except (OSError, FileRefused) as error:
+        click.echo(str(error), err=True)
+        sys.exit(1)
+
+
+@main.command()
+@click.argument("name")
+@click.option("--out", type=click.Path(), default="", help="Folder for records and report; default: rehearsals/NAME-TIME.")
+@click.option("--seed", type=int, default=None, help="In place of the day's own.")
+@click.option("--quiet", is_flag=True, help="No progress.")
+def rehearse(name: str, out: str, seed: Optional[int], quiet: bool) -> None:
+    """Play the scripted day NAME (or a file) on loopback and check the rules from what passed."""
+    from cedarshift.rehearsal.day import load_day
+    try:
+        day = load_day(name)
+    except (OSError, FileRefused) as error:
+        raise click.ClickException(str(error)) from None
+    _play(day, out, seed, quiet)
+
+
+def _play(day: Any, out: str, seed: Optional[int], quiet: bool) -> None:
+    from cedarshift.rehearsal.run import play
+    from cedarshift.rehearsal.report import as_text
+    report = play(day, out, seed, None if quiet else lambda text: click.echo(text, err=True))
+    click.echo(as_text(report))
+    sys.exit(0 if report["as_expected"] else 1)
+
+
+@main.command()
+@click.argument("dayfile", type=click.Path(exists=True))
+@click.option("--out", type=click.Path(), default="", help="Folder for records and report.")
+@click.option("--scale", type=float, default=0.0, help="Share of the day's fleet and load; default: what one machine holds.")
+@click.option("--only-map", is_flag=True, help="Say what would be played, and play nothing.")
+@click.option("--quiet", is_flag=True, help="No progress.")
+def replay(dayfile: str, out: str, scale: float, only_map: bool, quiet: bool) -> None:
+    """Play the troubles of a bench day, as `lbsim draw` prints it, through the real pilot."""
+    from cedarshift.rehearsal.bench_day import map_day
+    try:
+        day, said = map_day(dayfile, scale)
+    except (OSError, FileRefused, ValueError) as error:
+        raise click.ClickException(str(error)) from None
+    for line in said:
+        click.echo(line, err=True)
+    if not only_map:
+        _play(day, out, None, quiet)
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+@click.argument("name")
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+def tables(file: str, name: str, as_json: bool) -> None:
+    """What the running pilot NAME of a deployment FILE holds."""
+    from cedarshift.cli.tables import fetch, shown
+    deployment = _load(file)
+    try:
+        place = deployment.pilot(name)
+    except KeyError as error:
+        raise click.ClickException(error.args[0]) from None
+    if place.admin is None:
+        raise click.ClickException(f"pilot {name} has no admin address in {file}")
+    try:
+        held = fetch(place.admin)
+    except OSError as error:
+        raise click.ClickException(f"pilot {name}: {error}") from None
+    click.echo(held.decode() if as_json else shown(held))
+
+
+@main.command()
+def version() -> None:
+    """The version."""
+    click.echo(f"cedarshift {VERSION}")
--- /dev/null
+++ b/cedarshift/cli/tables.py
@@ -0,0 +1,47 @@
+"""Asks a pilot's page what it holds, and shows it as text."""
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from cedarshift.loop import StreamBroken, TimedOut
+from cedarshift.loop.core import Coroutine
+from cedarshift.loop.epoll import real_loop
+from cedarshift.web import Pool
+
+TIMEOUT = 5_000_000       # us
+
+
+def fetch(address: tuple[str, int], target: str = "/tables", method: str = "GET", body: bytes = b"") -> bytes:
+    """One request. Raises OSError where nobody answers, or not with 200."""
+    loop = real_loop()
+    pool = Pool(loop, TIMEOUT)
+
+    def main() -> Coroutine:
+        try:
+            return (yield from pool.ask(address, method, target, [], body, loop.now() + TIMEOUT))
+        except (StreamBroken, TimedOut) as error:
+            raise OSError(str(error) or "no answer in time") from None
+    reply = loop.run(loop.spawn(main(), "ask"))
+    pool.close_idle()
+    loop.network.epoll.close()  # type: ignore[attr-defined]
+    if reply.status != 200:
+        raise OSError(f"{address[0]}:{address[1]} answered {reply.status}")
+    return reply.body
+
+
+def shown(raw: bytes) -> str:
+    held: dict[str, Any] = msgspec.json.decode(raw)
+    out = [f"pilot {held['pilot']} of {held['deployment']}, {'in charge' if held['in_charge'] else 'NOT in charge'}",
+           f"proxies joined: {len(held['proxies'])}; endpoints listed: {len(held['endpoints'])}; "
+           f"slices: {len(held['slices'])}",
+           "channel: {waiting:.0f} lines wait, {peak:.0f} at most so far, {most:.0f} allowed".format(**held["channel"]), ""]
+    if held["slices"]:
+        out.append(f"{'slice':>6} {'epoch':>6} {'version':>8}  {'state':<9} owner")
+    for row in held["slices"]:
+        closed = " (writes closed)" if any(lv["share"] == 0 for lv in row["levels"]) else ""
+        out.append(f"{row['slice']:>6} {row['epoch']:>6} {row['version']:>8}  {row['state']:<9} {row['owner'] or '-'}{closed}")
+    for number, lines in held["tables"].items():
+        out.append(f"table {number}: " + ", ".join(f"{end} x{weight:g}" for end, weight in sorted(lines.items())))
+    return "\n".join(out)
--- /dev/null
+++ b/cedarshift/deployment/render.py
@@ -0,0 +1,48 @@
+"""A deployment as the text of a deployment file: what `load` reads back as the same."""
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+from cedarshift.deployment.deployment import (CHANNEL, LIST, OP_TYPE, PILOT, PROXY, RULES, STORE, Deployment)
+from cedarshift.deployment.hcl import Shape
+
+
+def render(d: Deployment, secret_file: str = "") -> str:
+    """`secret_file` has to hold the deployment's secret where it has one."""
+    out = [f'deployment "{d.name}" {{']
+    for name in ("slices", "zones", "single_owner", "pick", "levels", "intake_per_s", "proxies_most"):
+        out.append(f"  {name} = {_literal(getattr(d, name))}")
+    if secret_file:
+        out.append(f"  secret_file = {_literal(secret_file)}")
+    for op in d.op_types:
+        out += _block(f'op_type "{op.name}"', OP_TYPE, op)
+    for place in d.pilots:
+        out += _block(f'pilot "{place.name}"', PILOT, place)
+    if d.store is not None:
+        out += _block("store", STORE, d.store)
+    for kind, shape, body in (("list", LIST, d.listed), ("channel", CHANNEL, d.channel), ("proxy", PROXY, d.proxy),
+                              ("rules", RULES, d.rules)):
+        out += _block(kind, shape, body)
+    return "\n".join(out + ["}", ""])
+
+
+def _block(title: str, shape: Shape, body: Any) -> list[str]:
+    spans = {name for name, (test, _) in shape.attributes.items() if test.__qualname__.startswith("span.")}
+    rows = []
+    for name, value in dataclasses.asdict(body).items():
+        if name in shape.attributes and value not in (None, ""):
+            rows.append(f"    {name} = " + (f'"{value}us"' if name in spans else _literal(value)))
+    return [f"  {title} {{", *rows, "  }"]
+
+
+def _literal(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, str):
+        return '"' + value.replace("\\", "\\\\").replace('"', '\\"') + '"'
+    if isinstance(value, tuple) and len(value) == 2 and isinstance(value[1], int):
+        return f'"{value[0]}:{value[1]}"'
+    if isinstance(value, (tuple, list)):
+        return "[" + ", ".join(_literal(one) for one in value) + "]"
+    return repr(value)
--- a/cedarshift/loop/epoll.py
+++ b/cedarshift/loop/epoll.py
@@ -191,6 +191,11 @@
         return self.came.pop(0)
 
 
+def fresh_bytes(count: int) -> bytes:
+    """From the machine's own source of chance; the seed of a process and the challenges of its handshakes."""
+    return os.urandom(count)
+
+
 def real_loop(report: Optional[Callable[..., None]] = None) -> Loop:
     """A loop on the machine's own clock and sockets."""
     return Loop(MonotonicClock(), EpollNetwork(), report)
--- /dev/null
+++ b/cedarshift/rehearsal/day.py
@@ -0,0 +1,175 @@
+"""A rehearsal's script: fleet, load, faults and their times, from an HCL file; and the deployment it plays on."""
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from typing import Any
+
+from cedarshift.deployment import Deployment, FileRefused, Problem, load
+from cedarshift.deployment import hcl
+from cedarshift.deployment.hcl import MUST, Shape
+
+DAYS = os.path.join(os.path.dirname(__file__), "days")
+
+
+@dataclass(frozen=True)
+class EndpointKind:
+    name: str
+    share: float
+    cores: int
+    speed: float
+    queue: int
+
+
+@dataclass(frozen=True)
+class Fault:
+    """`kind` is one of FAULTS; `at` in us from the day's begin; `line` in the file, for messages."""
+    kind: str
+    at: int
+    values: dict[str, Any]
+    line: int
+
+
+@dataclass(frozen=True)
+class Day:
+    name: str
+    file: str
+    deployment: Deployment
+    length: int
+    seed: int
+    endpoints: int
+    spare_ports: int
+    proxies: int
+    clients: int
+    rate: float
+    work: int
+    keys: int
+    zipf: float
+    retries: int
+    notice: int
+    add_notice: int
+    kinds: tuple[EndpointKind, ...]
+    shares: dict[str, float]
+    faults: tuple[Fault, ...]
+    broken: tuple[str, ...]       # rules that this day breaks on purpose
+
+
+KIND = Shape({"share": (hcl.number(0, 1000), 1.0), "cores": (hcl.whole(1, 256), 4), "speed": (hcl.number(0.01, 100), 1.0),
+              "queue": (hcl.whole(1, 100_000), 40)})
+AT = {"at": (hcl.span(), MUST)}
+FOR = {"for": (hcl.span(1_000), MUST)}
+WHICH = {"which": (hcl.whole(), 0)}
+COUNT = {"count": (hcl.whole(1), 1)}
+SHARE = {"share": (hcl.number(0, 1), MUST)}
+
+# kind -> (what it does, its attributes)
+FAULTS: dict[str, tuple[str, dict[str, Any]]] = {
+    "kill_pilot": ("a pilot is killed (kill -9) and started again", {**AT, **FOR, **WHICH}),
+    "kill_pilot_in_order": ("a pilot is killed when its order has reached `after` proxies",
+                            {**AT, **FOR, **WHICH, "after": (hcl.whole(), 1)}),
+    "pause_pilot": ("a pilot is stopped (SIGSTOP) and goes on", {**AT, **FOR, **WHICH}),
+    "reload_pilot": ("SIGHUP", {**AT, **WHICH}),
+    "stop_pilot": ("SIGTERM, and started again", {**AT, **FOR, **WHICH}),
+    "kill_store": ("the store is killed (kill -9) and started again", {**AT, **FOR}),
+    "kill_proxy": ("a proxy is killed and started again", {**AT, **FOR, **WHICH}),
+    "kill_endpoint": ("an endpoint is killed; it comes back cold", {**AT, **FOR, **WHICH}),
+    "hang": ("an endpoint holds everything and answers nothing", {**AT, **FOR, **WHICH}),
+    "fast_errors": ("an endpoint fails a share of its ops at once", {**AT, **FOR, **WHICH, **SHARE}),
+    "class_fail": ("an endpoint fails one op type", {**AT, **FOR, **WHICH, "op_type": (hcl.text, MUST)}),
+    "cut_replies": ("an endpoint dies in the middle of a share of its replies", {**AT, **FOR, **WHICH, **SHARE}),
+    "slow_endpoint": ("an endpoint takes longer for each op", {**AT, **FOR, **WHICH, "times": (hcl.number(1, 100), MUST)}),
+    "deploy": ("endpoints are drained, stopped, and replaced by new ones that come in cold",
+               {**AT, **COUNT, "every": (hcl.span(1_000), 4_000_000), "drain": (hcl.span(100_000), 8_000_000)}),
+    "shrink": ("endpoints are drained and stopped for good", {**AT, **COUNT, "drain": (hcl.span(100_000), 8_000_000)}),
+    "burst": ("arrivals are multiplied", {**AT, **FOR, "times": (hcl.number(0.01, 100), MUST)}),
+    "hot_key": ("one key draws a share of all traffic", {**AT, **FOR, **SHARE}),
+    "shift": ("traffic turns to the proxies of one zone", {**AT, **FOR, "zone": (hcl.text, MUST)}),
+    "reconnect": ("a share of the streams between proxies and pilots break at once", {**AT, **SHARE}),
+    "cut_proxies": ("proxies reach no pilot; `how`: dropped in silence or refused",
+                    {**AT, **FOR, **COUNT, "how": (hcl.choice("drop", "refuse"), "drop")}),
+    "cut_store": ("a pilot does not reach the store", {**AT, **FOR, **WHICH, "how": (hcl.choice("drop", "refuse"), "drop")}),
+    "slow_channel": ("what pilots send takes longer to arrive", {**AT, **FOR, "delay": (hcl.span(1_000, 2_000_000), MUST)}),
+    "slow_link": ("ops between a zone's proxies and another zone's endpoints take longer",
+                  {**AT, **FOR, "from": (hcl.text, MUST), "to": (hcl.text, MUST), "delay": (hcl.span(1_000, 5_000_000), MUST)}),
+    "list_unreachable": ("the list service does not answer", {**AT, **FOR}),
+    "list_wrong": ("the list calls `count` running endpoints gone", {**AT, **FOR, **COUNT}),
+    "bad_proxy": ("a proxy of a broken kind takes the place of a plain one; for seeing the checkers fire",
+                  {**AT, **WHICH, "how": (hcl.choice("deaf", "forgetful", "pushy"), MUST)}),
+    "loose_pilots": ("pilots are told a channel without limits, while the rules keep to the day's; for the checkers", {**AT}),
+}
+
+DAY = Shape({
+    "deployment": (hcl.text, MUST), "length": (hcl.span(1_000_000), MUST), "seed": (hcl.whole(), 1),
+    "endpoints": (hcl.whole(1, 200), MUST), "proxies": (hcl.whole(1, 200), MUST), "clients": (hcl.whole(1, 16), 2),
+    "rate": (hcl.number(0.1, 5_000), MUST), "work": (hcl.span(1_000), 300_000), "keys": (hcl.whole(1), 2_000),
+    "zipf": (hcl.number(0, 3), 0.7), "retries": (hcl.whole(0, 5), 2), "notice": (hcl.span(), 2_000_000),
+    "add_notice": (hcl.span(), 1_500_000), "broken": (hcl.texts, [])},
+    {"endpoint_kind": (KIND, 1, 0, 16), "op_share": (Shape({"share": (hcl.number(0, 1000), MUST)}), 1, 0, 64),
+     "fault": (Shape({}), 1, 0, 200)})
+FILE = Shape({}, {"rehearsal": (DAY, 1, 1, 1)})
+
+
+def find(name: str) -> str:
+    """The path of a day: a path as it is, or the name of one that comes with the program."""
+    if os.path.exists(name):
+        return name
+    path = os.path.join(DAYS, name + ".hcl")
+    if not os.path.exists(path):
+        known = sorted(f[:-4] for f in os.listdir(DAYS) if f.endswith(".hcl") and not f.startswith("deployment-"))
+        raise FileRefused([Problem(name, 0, f"there is no such file and no such day; days: {', '.join(known)}")])
+    return path
+
+
+def load_day(name: str) -> Day:
+    """Raises FileRefused with every problem of the day's file or its deployment's."""
+    path = find(name)
+    with open(path, encoding="utf-8") as source:
+        top = hcl.parse(source.read(), path)
+    problems: list[Problem] = []
+    faults = _faults(top, path, problems)
+    found = hcl.check(top, FILE, path, problems)
+    if problems or not found.blocks["rehearsal"]:
+        raise FileRefused(problems)
+    body = found.blocks["rehearsal"][0]
+    deployment = load(os.path.join(os.path.dirname(path), body["deployment"]))
+    kinds = tuple(EndpointKind(name=k.labels[0], **k.values) for k in body.blocks["endpoint_kind"]) or (
+        EndpointKind("usual", 1.0, 4, 1.0, 40),)
+    shares = {one.labels[0]: one["share"] for one in body.blocks["op_share"]}
+    values = {name: body[name] for name in DAY.attributes if name not in ("deployment", "broken")}
+    day = Day(name=body.labels[0], file=path, deployment=deployment, kinds=kinds, shares=shares, faults=tuple(faults),
+              broken=tuple(body["broken"]), spare_ports=sum(
+                  f.values.get("count", 0) for f in faults if f.kind == "deploy"), **values)
+    _agree(day, problems)
+    if problems:
+        raise FileRefused(problems)
+    return day
+
+
+def _faults(top: hcl.Block, path: str, problems: list[Problem]) -> list[Fault]:
+    """Each fault is checked against its own kind's shape; its body is then emptied for the general check."""
+    faults = []
+    for block in [b for day in top.blocks for b in day.blocks if b.kind == "fault" and len(b.labels) == 1]:
+        kind = block.labels[0]
+        if kind not in FAULTS:
+            problems.append(Problem(path, block.line, f"fault {kind!r} is unknown; known: {', '.join(sorted(FAULTS))}"))
+        else:
+            got = hcl.check(block, Shape(FAULTS[kind][1]), path, problems, f' in fault "{kind}"')
+            faults.append(Fault(kind, got["at"] or 0, got.values, block.line))
+        block.attributes = {}
+        block.labels = [f"{kind} {len(faults)} {block.line}"]
+    return sorted(faults, key=lambda f: f.at)
+
+
+def _agree(day: Day, problems: list[Problem]) -> None:
+    ops = {op.name for op in day.deployment.op_types}
+    for name in day.shares:
+        if name not in ops:
+            problems.append(Problem(day.file, 0, f"op_share {name!r} is no op type of {day.deployment.file}"))
+    limits = {"kill_proxy": day.proxies, "kill_endpoint": day.endpoints, "hang": day.endpoints, "bad_proxy": day.proxies,
+              "kill_pilot": len(day.deployment.pilots), "kill_pilot_in_order": len(day.deployment.pilots),
+              "pause_pilot": len(day.deployment.pilots), "cut_store": len(day.deployment.pilots)}
+    for fault in day.faults:
+        if fault.at >= day.length:
+            problems.append(Problem(day.file, fault.line, f"fault {fault.kind} begins after the day's end"))
+        if fault.values.get("which", 0) >= limits.get(fault.kind, 1 << 30):
+            problems.append(Problem(day.file, fault.line, f"which = {fault.values['which']}, there are {limits[fault.kind]}"))
--- /dev/null
+++ b/cedarshift/rehearsal/evidence.py
@@ -0,0 +1,64 @@
+"""What a rehearsal's processes recorded, read back and put in order of time."""
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass, field
+from typing import Any, Iterable, NamedTuple
+
+import msgspec
+
+DECODER = msgspec.json.Decoder(list[Any])
+
+
+class Row(NamedTuple):
+    """`at` in us on the machine's monotonic clock; `who` recorded it; `told` are the details, as each kind has them."""
+    at: int
+    who: str
+    what: str
+    told: list[Any]
+
+
+@dataclass
+class Limits:
+    """The figures that the rules are held to; spans in us."""
+    empty_for: int
+    drain_grace: int
+    warm_within: int
+    lines_waiting_most: float
+    lines_per_message: float
+    messages_most: int
+    messages_span: int
+    once_only: frozenset[str]
+
+
+@dataclass
+class Evidence:
+    limits: Limits
+    rows: list[Row] = field(default_factory=list)
+    begin: int = 0
+    end: int = 0
+
+    def of(self, *kinds: str) -> Iterable[Row]:
+        return (row for row in self.rows if row.what in kinds)
+
+    def seconds(self, at: int) -> float:
+        """Since the day's begin."""
+        return (at - self.begin) / 1e6
+
+
+def read_records(folder: str) -> list[Row]:
+    """All rows of `record-WHO.jsonl` files, by time. A line cut off by a kill is left out: it is the last of its life."""
+    rows = []
+    for name in sorted(os.listdir(folder)):
+        if not (name.startswith("record-") and name.endswith(".jsonl")):
+            continue
+        who = name[len("record-"):-len(".jsonl")]
+        with open(os.path.join(folder, name), "rb") as source:
+            for line in source:
+                try:
+                    at, what, *told = DECODER.decode(line)
+                except (msgspec.DecodeError, ValueError):
+                    continue
+                rows.append(Row(at, who, what, told))
+    rows.sort(key=lambda row: row.at)
+    return rows
--- /dev/null
+++ b/cedarshift/rehearsal/run.py
@@ -0,0 +1,104 @@
+"""Plays a day: curtain up, clients, faults, the end; then the rules are checked and the report written."""
+from __future__ import annotations
+
+import os
+import time
+from typing import Any, Callable, Optional
+
+import msgspec
+
+from cedarshift.loop.core import Coroutine
+from cedarshift.loop.epoll import real_loop
+from cedarshift.rehearsal.day import Day
+from cedarshift.rehearsal.evidence import Evidence, Limits, read_records
+from cedarshift.rehearsal.faults import Faults
+from cedarshift.rehearsal.report import make_report, write_report
+from cedarshift.rehearsal.stage import Stage
+
+WARM_MOST = 40_000_000    # us for all slices to have owners after the start
+LEAD = 1_500_000          # us from the clients' start to the day's begin
+TAIL = 8_000_000          # us after the last arrival for the last answers
+EVERY = 5_000_000         # us between two lines of progress
+
+Say = Optional[Callable[[str], None]]
+
+
+class Hall:
+    """What the run knows of itself."""
+
+    def __init__(self) -> None:
+        self.begin = 0
+        self.end = 0
+        self.ended: list[str] = []
+
+
+def play(day: Day, out: str, seed: Optional[int], say: Say) -> dict[str, Any]:
+    """Returns the report; it also stands as report.json and report.html in the run's folder."""
+    folder = out or os.path.join("rehearsals", f"{day.name}-{time.strftime('%Y%m%d-%H%M%S')}")
+    os.makedirs(folder, exist_ok=True)
+    if any(name.startswith("record-") for name in os.listdir(folder)):
+        raise FileExistsError(f"{folder} holds records of another run")
+    loop = real_loop(lambda event, **fields: say(f"{event} {fields}") if say else None)
+    stage = Stage(loop, day, os.path.abspath(folder), day.seed if seed is None else seed)
+    hall = Hall()
+    try:
+        loop.run(loop.spawn(_day(stage, day, hall, say or (lambda text: None)), "day"))
+    finally:
+        stage.fleet.stop_all()
+    evidence = Evidence(limits_of(day), read_records(folder), hall.begin, hall.end)
+    report = make_report(day, evidence, hall.ended, seed=stage.seed)
+    write_report(report, evidence, folder)
+    return report
+
+
+def limits_of(day: Day) -> Limits:
+    d = day.deployment
+    return Limits(
+        empty_for=d.rules.empty_for, drain_grace=d.rules.drain_grace, warm_within=d.rules.warm_within,
+        lines_waiting_most=d.channel.lines_waiting_most, lines_per_message=d.channel.lines_per_message,
+        messages_most=d.channel.messages_most, messages_span=d.channel.messages_span,
+        once_only=frozenset(op.name for op in d.op_types if op.repeats == "once-only"))
+
+
+def _day(stage: Stage, day: Day, hall: Hall, say: Callable[[str], None]) -> Coroutine:
+    loop = stage.loop
+    say(f"{day.name}: {len(stage.pilots)} pilots, {day.proxies} proxies, {day.endpoints} endpoints, "
+        f"{day.deployment.slices} slices, {day.rate:g} ops/s for {day.length / 1e6:g} s; seed {stage.seed}")
+    yield from stage.raise_curtain()
+    yield from _all_owned(stage)
+    clients = stage.start_clients(loop.now() + LEAD)
+    hall.begin = loop.now() + LEAD
+    stage.recorder.note("begin", day.name, stage.seed)
+    say("every slice has an owner; the day begins")
+    Faults(stage, day, lambda text: say(f"{(loop.now() - hall.begin) / 1e6:6.1f} s  {text}")).spawn_all(hall.begin)
+    shown = hall.begin
+    while loop.now() < hall.begin + day.length + TAIL:
+        yield from loop.sleep(200_000)
+        gone = stage.fleet.ended()
+        hall.ended += [one for one in gone if one.split(" ")[0] not in clients]
+        for one in hall.ended[len(hall.ended) - len(gone):] if gone else []:
+            say(f"{(loop.now() - hall.begin) / 1e6:6.1f} s  {one} ended by itself")
+        if loop.now() >= shown + EVERY:
+            shown += EVERY
+            say(f"{(loop.now() - hall.begin) / 1e6:6.1f} s of {day.length / 1e6:g} s")
+        if not any(stage.fleet.alive(c) for c in clients):
+            break
+    hall.end = loop.now()
+
+
+def _all_owned(stage: Stage) -> Coroutine:
+    """Until the pilots together hold every slice with an owner."""
+    until = stage.loop.now() + WARM_MOST
+    admin = {p.name: p.admin for p in stage.deployment.pilots}
+    while stage.loop.now() < until:
+        owned = 0
+        for name, address in admin.items():
+            assert address is not None
+            stage.fleet.addresses[f"{name}-admin"] = address
+            reply = yield from stage.fleet.ask(f"{name}-admin", "/tables")
+            if reply is not None and reply.status == 200:
+                owned += sum(bool(row["owner"]) for row in msgspec.json.decode(reply.body)["slices"])
+        if owned == stage.deployment.slices:
+            return
+        yield from stage.loop.sleep(200_000)
+    raise TimeoutError(f"after {WARM_MOST / 1e6:g} s not every slice had an owner; see the logs in {stage.fleet.folder}")
--- /dev/null
+++ b/cedarshift/standins/__main__.py
@@ -0,0 +1,26 @@
+"""`python -m cedarshift.standins KIND PLAN RECORD`: one stand-in as a process."""
+from __future__ import annotations
+
+import importlib
+import sys
+
+from cedarshift.loop.epoll import real_loop
+
+KINDS = ("endpoint", "proxy", "client", "lists", "relay")
+
+
+def main() -> int:
+    if len(sys.argv) != 4 or sys.argv[1] not in KINDS:
+        print(f"usage: python -m cedarshift.standins {'|'.join(KINDS)} PLAN RECORD", file=sys.stderr)
+        return 2
+    kind, plan, record = sys.argv[1:]
+    loop = real_loop(lambda event, **fields: print(event, fields, file=sys.stderr, flush=True))
+    with open(plan, "rb") as source:
+        raw = source.read()
+    importlib.import_module(f"cedarshift.standins.{kind}").run(loop, raw, record)
+    loop.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cedarshift/standins/proxy.py
@@ -0,0 +1,182 @@
+"""A stand-in proxy: the agent, and a listening side over HTTP/1.1. Broken kinds exist to see the rule checkers fire.
+
+    POST /op       headers x-op, x-key, x-type, x-try, x-work-us, x-left-us
+    POST /control  {"slow_zone": zone, "slow_ms": ms}
+"""
+from __future__ import annotations
+
+import random
+from hashlib import blake2b
+from typing import Any
+
+import msgspec
+
+from cedarshift.agent import Agent, NoPick, Pick, Tables
+from cedarshift.agent.tables import ALL_TABLES, OpKind
+from cedarshift.codec import Badge
+from cedarshift.codec import messages as m
+from cedarshift.loop import Loop, StreamBroken, TimedOut, listen
+from cedarshift.loop.core import Coroutine
+from cedarshift.standins.record import Recorder
+from cedarshift.web import Answer, Asked, Pool, serve_http
+from cedarshift.web.client import NotSent
+
+NEVER_RAN = (("x-never-ran", "1"), ("x-retry-after-ms", "200"))
+
+
+class ProxyPlan(msgspec.Struct):
+    """`kind`: "plain"; "deaf" acks orders and keeps its old lines; "forgetful" drops its tables `at_us` after the start;
+    "pushy" sends all that is no write to `favourite`."""
+    name: str
+    address: tuple[str, int]
+    deployment: str
+    slices: int
+    op_types: list[tuple[str, bool, int]]     # name, writes, op timeout in us
+    pilots: dict[str, tuple[str, int]]
+    store: tuple[str, int]
+    zone: str = ""
+    secret: str = ""
+    single_owner: bool = True
+    even: bool = True
+    lease_us: int = 800_000
+    buffer_us: int = 200_000
+    connect_us: int = 500_000
+    outlier_after: int = 3
+    zones: dict[str, str] = {}                # endpoint -> zone, for slow links
+    kind: str = "plain"
+    favourite: str = ""
+    at_us: int = 0
+    seed: int = 0
+
+
+def slice_of(key: str, slices: int) -> int:
+    """Key to slice; the same for every proxy of a deployment."""
+    return int.from_bytes(blake2b(key.encode(), digest_size=8).digest(), "big") % max(1, slices)
+
+
+class DeafTables(Tables):
+    """Acks all, keeps the first owner of each slice."""
+
+    def _set_owner(self, pilot: str, line: m.Line) -> None:
+        if line.weight > 0 and not self.held[line.table].owner:
+            super()._set_owner(pilot, line)
+
+    def _level(self, levels: list[m.Level], table: int, op_type: int) -> None:
+        return None
+
+
+class Proxy:
+    def __init__(self, loop: Loop, plan: ProxyPlan, recorder: Recorder) -> None:
+        self.loop = loop
+        self.plan = plan
+        self.recorder = recorder
+        self.types = {name: (n, writes, timeout) for n, (name, writes, timeout) in enumerate(plan.op_types)}
+        self.chance = random.Random(plan.seed)
+        kind = DeafTables if plan.kind == "deaf" else Tables
+        self.tables = kind(plan.slices, [OpKind(name, writes) for name, writes, _ in plan.op_types], plan.single_owner,
+                           plan.lease_us, plan.even, plan.outlier_after)
+        self.pool = Pool(loop, plan.connect_us)
+        self.slow: dict[str, int] = {}
+        self.shown: dict[int, tuple[str, bool, str]] = {}
+        self.bare: list[int] = []
+        badge = Badge(plan.deployment, "proxy", plan.name, plan.zone, plan.secret.encode())
+        self.agent = Agent(loop, badge, plan.pilots, plan.store, self.tables, self.chance.random, self._observe)
+        loop.spawn(serve_http(loop, listen(loop, plan.address), self._answer), "http")
+        recorder.note("start", plan.name, plan.zone, plan.kind)
+        if plan.kind == "forgetful":
+            loop.at(loop.now() + plan.at_us, self._forget)
+
+    # ---- the record
+
+    def _observe(self, event: str, **fields: Any) -> None:
+        if event == "order":
+            order: m.Order = fields["order"]
+            self.recorder.note("order", fields["pilot"], order.seq, order.waited, len(order.lines) + len(order.levels),
+                               order.mark, [[ln.table, ln.endpoint, ln.weight, ln.epoch] for ln in order.lines])
+        elif event == "held":
+            self.recorder.note("held", fields["pilot"], [[row.slice, row.epoch, row.owner] for row in fields["rows"]])
+        elif event in ("joined", "lost"):
+            self.recorder.note(event, fields["pilot"], fields.get("reason", ""))
+        elif event == "in_force":
+            self._note_tables()
+
+    def _note_tables(self) -> None:
+        """Only what changed: a slice's owner, whether its writes are closed, and who is in charge."""
+        for number, holding in self.tables.held.items():
+            closed = any(lv.share <= 0 and lv.table != ALL_TABLES for lv in holding.levels)
+            now = (holding.owner, closed, holding.pilot)
+            if self.shown.get(number) != now:
+                self.shown[number] = now
+                self.recorder.note("slice", number, *now)
+
+    def _forget(self) -> None:
+        for holding in self.tables.held.values():
+            holding.owner = ""
+        self._note_tables()
+
+    # ---- ops
+
+    def _answer(self, asked: Asked) -> Coroutine:
+        if asked.target == "/control":
+            order = msgspec.json.decode(asked.body)
+            self.slow = {order["slow_zone"]: int(order["slow_ms"] * 1000)} if order.get("slow_ms") else {}
+            yield from self.loop.breathe()
+            return Answer(200, b"{}")
+        if asked.target == "/health":
+            yield from self.loop.breathe()
+            return Answer(200 if any(v.joined for v in self.tables.views.values()) else 503)
+        head = asked.headers
+        if head.get("x-type", "") not in self.types:
+            return Answer(400, b"x-type is none of " + ", ".join(self.types).encode())
+        return (yield from self._forward(head, self.loop.now()))
+
+    def _forward(self, head: dict[str, str], came: int) -> Coroutine:
+        kind, writes, timeout = self.types[head["x-type"]]
+        number = slice_of(head.get("x-key", ""), self.plan.slices) if self.plan.slices else -1
+        until = came + min(timeout, int(head.get("x-left-us", timeout)))
+        self.agent.came(number, kind)
+        pick = yield from self.agent.pick_within(number, kind, self.plan.buffer_us)
+        if isinstance(pick, NoPick):
+            self.recorder.note("turned", head.get("x-op", ""), number, pick.reason)
+            return Answer(503, pick.reason.encode(), NEVER_RAN)
+        if self.plan.kind == "pushy" and not writes and self.plan.favourite:
+            pick = Pick(self.plan.favourite, pick.pilot, pick.epoch)
+        answer = yield from self._send(head, pick, number, writes, until)
+        retries = self.tables.retries(number, kind) if not self.plan.slices else 0
+        if answer.status != 200 and retries and (retries > 1 or answer.headers == NEVER_RAN) and self.loop.now() < until:
+            again = yield from self.agent.pick(number, kind)
+            if isinstance(again, Pick) and again.endpoint != pick.endpoint:
+                answer = yield from self._send(head, again, number, writes, until)
+        if answer.status not in (200, 503):
+            self.agent.unanswered(number, kind)
+        return answer
+
+    def _send(self, head: dict[str, str], pick: Pick, number: int, writes: bool, until: int) -> Coroutine:
+        begun = self.loop.now()
+        self.recorder.note("send", head.get("x-op", ""), number, head["x-type"], pick.endpoint, pick.pilot, pick.epoch)
+        host, port = pick.endpoint.rsplit(":", 1)
+        slow = self.slow.get(self.plan.zones.get(pick.endpoint, ""), 0)
+        answer = Answer(502, b"aborted")
+        try:
+            if slow:
+                yield from self.loop.sleep(slow)
+            headers: list[tuple[str, str]] = [(name, head[name]) for name in ("x-op", "x-type", "x-try", "x-work-us") if name in head]
+            headers += [("x-slice", str(number)), ("x-proxy", self.plan.name), ("x-writes", str(int(writes))),
+                        ("x-left-us", str(max(0, until - self.loop.now())))]
+            reply = yield from self.pool.ask((host, int(port)), "POST", "/op", headers, b"", until)
+            if slow:
+                yield from self.loop.sleep(slow)
+            rejected = reply.headers.get("x-never-ran") == "1"
+            answer = Answer(reply.status, reply.body, NEVER_RAN if rejected else ())
+        except NotSent:
+            answer = Answer(502, b"no connection", NEVER_RAN)
+        except TimedOut:
+            answer = Answer(504, b"op timeout")
+        except StreamBroken:
+            pass
+        self.agent.tried(pick, answer.status != 200, self.loop.now() - begun)
+        return answer
+
+
+def run(loop: Loop, raw: bytes, record: str) -> Proxy:
+    return Proxy(loop, msgspec.json.decode(raw, type=ProxyPlan), Recorder(loop, record))
--- a/cedarshift/store/ledger.py
+++ b/cedarshift/store/ledger.py
@@ -77,7 +77,7 @@
 
     def _damaged(self, what: str) -> Damaged:
         return Damaged(f"{self.path}: {what}. Nothing of it is served. Way back: stop every pilot of the deployment, "
-                       f"then `cedarshift store restore {self.path} --from BACKUP`, or move the file away to start "
+                       f"then `cedarshift store restore DEPLOYMENT-FILE --from BACKUP`, or move the file away to start "
                        f"empty; either way each slice waits out a lease and the settle time before it has an owner")
 
     def _agree(self, deployment: str) -> None:
