A rehearsal can be played on a virtual clock: many hosts, one process, one seed

Whether learning costs service could not be told on a shared machine: two plays of the same seed differed by several hundredths. loop/world.py runs many loops on one virtual clock and one network in memory; each host can be killed, paused and started anew, and the order within an instant comes from the seed.

Two faults of learning that it brought to light are mended: a borrowed start that crept with each lending was a new process to the module each time, which wiped out the endpoint's sums; and a start was taken for the earliest possible, so a cold endpoint of a paused lender passed for warm. A process is now as young as its stated age allows, and what was handed on once stands.

--- a/benchmarks/newcomer.py
+++ b/benchmarks/newcomer.py
@@ -1,9 +1,11 @@
 """A pilot restarted in a rolling deploy: cold, taught by a peer, and spared (never killed), over seeds.
 
-Plays the days newcomer-cold, newcomer-taught and newcomer-spared as `cedarshift rehearse` does, several at a time, and
-prints for the 30 s after the restart what was earned, and how soon the picture came within a tenth of the peer's.
+Plays the days newcomer-cold, -taught and -spared as `cedarshift rehearse` does, several at a time, and prints for the 30 s
+after the restart what was earned, how soon the picture came within a tenth of the peer's, and each day less the first, seed
+by seed. `--days misled,alone` are the same with a lender that is cut off from its list. `--virtual` plays on a virtual
+clock: the same day for the same seed, whatever else the machine does.
 
-    python -m benchmarks.newcomer [--seeds 10] [--jobs 4]
+    python -m benchmarks.newcomer [--seeds 10] [--jobs 4] [--virtual] [--days cold,taught,spared] [--out FOLDER]
 """
 from __future__ import annotations
 
@@ -14,43 +16,54 @@
 import sys
 import tempfile
 from concurrent.futures import ThreadPoolExecutor
+from statistics import mean, stdev
 from typing import Any
 
-DAYS = ("cold", "taught", "spared")
 
-
-def play(folder: str, day: str, seed: int) -> dict[str, Any]:
+def play(folder: str, day: str, seed: int, virtual: bool) -> dict[str, Any]:
     out = os.path.join(folder, f"{day}-{seed}")
-    subprocess.run([sys.executable, "-m", "cedarshift", "rehearse", f"newcomer-{day}", "--quiet", "--seed", str(seed), "--out", out],
-                   stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, check=False)
+    more = ["--virtual"] if virtual else []
+    subprocess.run([sys.executable, "-m", "cedarshift", "rehearse", f"newcomer-{day}", "--quiet", "--seed", str(seed), "--out", out,
+                    *more], stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, check=False)
     with open(os.path.join(out, "report.json")) as report:
         return json.load(report)
 
 
+def less(found: dict[tuple[str, int], dict[str, Any]], day: str, other: str, seeds: range) -> str:
+    """A day's service less another's, with the standard error over the seeds."""
+    apart = [found[day, s]["window"]["earned_share"] - found[other, s]["window"]["earned_share"] for s in seeds]
+    error = stdev(apart) / len(apart) ** 0.5 if len(apart) > 1 else 0.0
+    return f"{day} less {other}: {mean(apart):+.4f}, standard error {error:.4f}, {len(apart)} seeds"
+
+
 def main() -> None:
     parser = argparse.ArgumentParser()
     parser.add_argument("--seeds", type=int, default=10)
     parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--virtual", action="store_true")
+    parser.add_argument("--days", default="cold,taught,spared")
+    parser.add_argument("--out", default="")
     args = parser.parse_args()
-    with tempfile.TemporaryDirectory() as folder, ThreadPoolExecutor(args.jobs) as pool:
-        runs = {(day, seed): pool.submit(play, folder, day, seed) for seed in range(1, args.seeds + 1) for day in DAYS}
+    days, seeds = args.days.split(","), range(1, args.seeds + 1)
+    with tempfile.TemporaryDirectory() as spare, ThreadPoolExecutor(args.jobs) as pool:
+        folder = args.out or spare
+        runs = {(day, seed): pool.submit(play, folder, day, seed, args.virtual) for seed in seeds for day in days}
         found = {key: run.result() for key, run in runs.items()}
-    print(f"{'seed':>4} " + " ".join(f"{day + ' earned':>14} {'gap 10 s':>9} {'near s':>7}" for day in DAYS) + "  rules")
-    for seed in range(1, args.seeds + 1):
-        row = [found[day, seed] for day in DAYS]
+    print(f"{'seed':>4} " + " ".join(f"{day + ' earned':>14} {'gap 10 s':>9} {'near s':>7}" for day in days) + "  rules")
+    for seed in seeds:
+        row = [found[day, seed] for day in days]
         cells = [f"{r['window']['earned_share']:>14.3f} {r['window']['mean_picture_gap_10_s']:>9.3f} "
                  f"{str(r['window']['picture_near_after_s']):>7}" for r in row]
-        broken = [f"{day}: {rule['rule']}" for day, r in zip(DAYS, row) for rule in r["rules"] if not rule["held"]]
+        broken = [f"{day}: {rule['rule']}" for day, r in zip(days, row) for rule in r["rules"] if not rule["held"]]
         print(f"{seed:>4} " + " ".join(cells) + "  " + (", ".join(broken) or "held"))
-    mean = {day: [sum(found[day, s]["window"][name] for s in range(1, args.seeds + 1)) / args.seeds
-                  for name in ("earned_share", "mean_picture_gap_10_s")] for day in DAYS}
-    print("mean " + " ".join(f"{day} {mean[day][0]:.4f} (picture gap {mean[day][1]:.3f});" for day in DAYS))
-    won = mean["spared"][0] - mean["cold"][0]
-    print(f"a pilot never killed earned {won:+.4f} over the cold one; the taught one {mean['taught'][0] - mean['cold'][0]:+.4f}")
-    for day in DAYS:
-        total = [found[day, s]["window"] for s in range(1, args.seeds + 1)]
-        print(f"{day}: sent beyond the grace {sum(w['sent_beyond_grace'] for w in total)}, pushed over "
-              f"{sum(w['pushed_over'] for w in total)}")
+    for day in days:
+        windows = [found[day, s]["window"] for s in seeds]
+        print(f"{day}: earned {mean(w['earned_share'] for w in windows):.4f}, picture gap "
+              f"{mean(w['mean_picture_gap_10_s'] for w in windows):.3f}, near on "
+              f"{sum(w['picture_near_after_s'] is not None for w in windows)} of {len(windows)}; sent beyond the grace "
+              f"{sum(w['sent_beyond_grace'] for w in windows)}, pushed over {sum(w['pushed_over'] for w in windows)}")
+    for day in days[1:]:
+        print(less(found, day, days[0], seeds))
 
 
 if __name__ == "__main__":
--- a/cedarshift/cli/main.py
+++ b/cedarshift/cli/main.py
@@ -126,21 +126,22 @@
 @click.option("--out", type=click.Path(), default="", help="Folder for records and report; default: rehearsals/NAME-TIME.")
 @click.option("--seed", type=int, default=None, help="In place of the day's own.")
 @click.option("--quiet", is_flag=True, help="No progress.")
-def rehearse(name: str, out: str, seed: Optional[int], quiet: bool) -> None:
+@click.option("--virtual", is_flag=True, help="In this process on a virtual clock: quick, and the same run for the same seed.")
+def rehearse(name: str, out: str, seed: Optional[int], quiet: bool, virtual: bool) -> None:
     """Play the scripted day NAME (or a file) on loopback and check the rules from what passed."""
     from cedarshift.rehearsal.day import load_day
     try:
         day = load_day(name)
     except (OSError, FileRefused) as error:
         raise click.ClickException(str(error)) from None
-    _play(day, out, seed, quiet)
+    _play(day, out, seed, quiet, virtual)
 
 
-def _play(day: Any, out: str, seed: Optional[int], quiet: bool) -> None:
+def _play(day: Any, out: str, seed: Optional[int], quiet: bool, virtual: bool = False) -> None:
     from cedarshift.rehearsal.run import play
     from cedarshift.rehearsal.report import as_text
     try:
-        report = play(day, out, seed, None if quiet else lambda text: click.echo(text, err=True))
+        report = play(day, out, seed, None if quiet else lambda text: click.echo(text, err=True), virtual)
     except (OSError, TimeoutError) as error:
         raise click.ClickException(str(error)) from None
     click.echo(as_text(report))
--- a/cedarshift/judge/trust.py
+++ b/cedarshift/judge/trust.py
@@ -40,12 +40,6 @@
     origin: str
 
 
-class Cold(NamedTuple):
-    """When a process was first seen to start, at the latest; the later start is the colder endpoint."""
-    started: int          # us
-    start: str
-
-
 class Ill(NamedTuple):
     """Found sick by a pilot's sums: until when, told when."""
     until: int
@@ -73,6 +67,12 @@
     return asked - stated_age - int(stated_age * DRIFT)
 
 
+def started_by(received: int, stated_age: int) -> int:
+    """The latest time at which a process of that age can have started: the answer may have been written just now, and the
+    clock that measured the age may run fast. A cold endpoint must not pass for a warm one while its facts travel."""
+    return received - stated_age + int(stated_age * DRIFT)
+
+
 def weight(age: int, hops: int, half_life: int, sound: float = 1.0) -> float:
     return 0.5 ** (age / half_life) * HOP_SHARE ** hops * sound
 
@@ -94,7 +94,7 @@
     def __init__(self) -> None:
         self.good: dict[tuple[str, str], Word] = {}      # (endpoint, source)
         self.bad: dict[tuple[str, str], Word] = {}
-        self.cold: dict[str, Cold] = {}
+        self.starts: dict[tuple[str, str], int] = {}     # (endpoint, process) -> us at which it had started, at the latest
         self.ill: dict[str, Ill] = {}
         self.sound: dict[str, float] = {}                # origin -> soundness of the lender that brought it
         self.sources: dict[str, set[str]] = {}
@@ -108,8 +108,14 @@
         self.sources[endpoint].add(source)
         kept[endpoint, source] = max(word, kept.get((endpoint, source), word))
 
-    def hear_start(self, endpoint: str, cold: Cold) -> None:
-        self.cold[endpoint] = max(cold, self.cold.get(endpoint, cold))
+    def hear_start(self, endpoint: str, process: str, latest: int) -> None:
+        """`latest` is a bound, so of several of one process the earliest says most."""
+        key = (endpoint, process)
+        self.starts[key] = min(latest, self.starts.get(key, latest))
+
+    def forget_starts(self, before: int) -> None:
+        """Those of processes that are warm by now tell nothing more."""
+        self.starts = {key: at for key, at in self.starts.items() if at >= before}
 
     def hear_sick(self, endpoint: str, ill: Ill) -> None:
         self.ill[endpoint] = max(ill, self.ill.get(endpoint, ill))
@@ -151,10 +157,10 @@
 
     def started(self, endpoint: str, own: Own, now: int, warm_within: int) -> Optional[int]:
         """A start that this pilot's own list does not tell of; only of the process that it lists."""
-        cold = self.cold.get(endpoint)
-        if cold is None or own.started is not None or cold.start != own.start or now - cold.started >= warm_within:
+        latest = self.starts.get((endpoint, own.start))
+        if latest is None or own.started is not None or now - latest >= warm_within:
             return None
-        return cold.started
+        return latest
 
     def sick_until(self, endpoint: str, now: int) -> int:
         """0 where no borrowed judgement stands."""
@@ -181,4 +187,4 @@
         return found
 
 
-__all__ = ["BAD", "Cold", "Ill", "Lender", "ON", "Own", "Trust", "Word", "heard_at", "weight"]
+__all__ = ["BAD", "Ill", "Lender", "ON", "Own", "Trust", "Word", "heard_at", "started_by", "weight"]
--- a/cedarshift/loop/core.py
+++ b/cedarshift/loop/core.py
@@ -174,12 +174,24 @@
 
     # ---- running
 
+    def turn(self) -> None:
+        """Runs the timers that are due and one breath of ready tasks; the network is not asked."""
+        self._run_timers()
+        for _ in range(min(BREATH, len(self.ready))):
+            self._step(*self.ready.popleft())
+
+    def next_due(self) -> Optional[int]:
+        """When there is something to run: now, or at the next timer; None where only the network can bring it."""
+        if self.ready:
+            return self.now()
+        while self.timers and self.timers[0][2].call is None:
+            heapq.heappop(self.timers)
+        return self.timers[0][0] if self.timers else None
+
     def run(self, main: Optional[Task] = None) -> Any:
         """Runs until `main` has ended, or `stop` was called, or nothing is left to do."""
         while not self.stopping and not (main is not None and main.done):
-            self._run_timers()
-            for _ in range(min(BREATH, len(self.ready))):
-                self._step(*self.ready.popleft())
+            self.turn()
             if self.stopping or (main is not None and main.done):
                 break
             if not self.tasks and not self.timers:
--- a/cedarshift/loop/memory.py
+++ b/cedarshift/loop/memory.py
@@ -1,18 +1,36 @@
 """A network and a clock that live in memory: time passes only when every task waits. One process, no sockets.
 
-The pipes delay by a stated time, hold a bounded number of bytes and can be cut; the groundwork for runs on a virtual
-clock, and the proof that nothing above the loop needs a real one.
+The pipes delay by a stated time, hold a bounded number of bytes and can be cut. One loop may use the network by itself;
+where several do (`loop/world.py`), each pipe, door and attempt belongs to one host, which hears of its edges.
 """
 from __future__ import annotations
 
 import errno
 import heapq
 from collections import deque
-from typing import Any, Callable, Optional
+from typing import Any, Callable, Optional, Protocol
+
+Call = Callable[[bool, bool, bool], None]
 
 HOLDS = 65_536            # bytes on the way in one direction, as in a small socket buffer
 
 
+class Owner(Protocol):
+    """A host among several: `hear` passes an edge on, when the host runs; `adopt` learns of a pipe of its own."""
+
+    alive: bool
+
+    def hear(self, call: Call, readable: bool, writable: bool, hung: bool) -> None: ...
+    def adopt(self, pipe: MemoryPipe) -> None: ...
+
+
+def _pass_on(owner: Optional[Owner], call: Call, readable: bool, writable: bool, hung: bool) -> None:
+    if owner is None:
+        call(readable, writable, hung)
+    else:
+        owner.hear(call, readable, writable, hung)
+
+
 class VirtualClock:
     def __init__(self, start: int = 1_000_000) -> None:
         self.time = start
@@ -39,44 +57,53 @@
         heapq.heappush(self.due, (at, self.drawn, call))
         return at
 
+    def next_due(self) -> Optional[int]:
+        return self.due[0][0] if self.due else None
+
+    def run_due(self) -> None:
+        while self.due and self.due[0][0] <= self.clock.time:
+            heapq.heappop(self.due)[2]()
+
     def poll(self, wait: Optional[int]) -> None:
         limit = None if wait is None else self.clock.time + wait
         if self.due and (limit is None or self.due[0][0] <= limit):
             self.clock.time = max(self.clock.time, self.due[0][0])
-            while self.due and self.due[0][0] <= self.clock.time:
-                heapq.heappop(self.due)[2]()
+            self.run_due()
         elif limit is None:
             raise RuntimeError("every task waits, and nothing is due: the program hangs")
         else:
             self.clock.time = limit
 
-    def listen(self, address: tuple[str, int]) -> MemoryDoor:
+    def listen(self, address: tuple[str, int], owner: Optional[Owner] = None) -> MemoryDoor:
         host, port = address
         if not port:
             self.next_port += 1
             port = self.next_port
         if (host, port) in self.doors:
             raise OSError(errno.EADDRINUSE, f"{host}:{port}: address already in use")
-        door = self.doors[host, port] = MemoryDoor(self, (host, port))
+        door = self.doors[host, port] = MemoryDoor(self, (host, port), owner)
         return door
 
-    def dial(self, address: tuple[str, int]) -> MemoryAttempt:
-        return MemoryAttempt(self, address)
+    def dial(self, address: tuple[str, int], owner: Optional[Owner] = None) -> MemoryAttempt:
+        return MemoryAttempt(self, address, owner)
 
 
 class MemoryPipe:
-    def __init__(self, network: MemoryNetwork) -> None:
+    def __init__(self, network: MemoryNetwork, owner: Optional[Owner] = None) -> None:
         self.network = network
+        self.owner = owner
         self.peer: Optional[MemoryPipe] = None
         self.inbox: deque[bytes] = deque()
         self.held = 0                        # bytes sent to this side and not read yet
         self.arrives = 0                     # when the newest of them does: streams keep their order
-        self.call: Optional[Callable[[bool, bool, bool], None]] = None
+        self.call: Optional[Call] = None
         self.finished = False                # the other side will send no more
         self.reset = False
         self.closed = False
+        if owner is not None:
+            owner.adopt(self)
 
-    def watch(self, call: Callable[[bool, bool, bool], None]) -> None:
+    def watch(self, call: Call) -> None:
         self.call = call
 
     def recv(self, most: int) -> Optional[bytes]:
@@ -119,7 +146,7 @@
 
     def _tell(self, readable: bool, writable: bool) -> None:
         if self.call is not None and not self.closed:
-            self.call(readable, writable, self.finished or self.reset)
+            _pass_on(self.owner, self.call, readable, writable, self.finished or self.reset)
 
     def _finish(self) -> None:
         self.finished = True
@@ -140,51 +167,56 @@
 
 
 class MemoryDoor:
-    def __init__(self, network: MemoryNetwork, address: tuple[str, int]) -> None:
+    def __init__(self, network: MemoryNetwork, address: tuple[str, int], owner: Optional[Owner] = None) -> None:
         self.network = network
+        self.owner = owner
         self.address = address
         self.queue: deque[MemoryPipe] = deque()
-        self.call: Optional[Callable[[bool, bool, bool], None]] = None
+        self.call: Optional[Call] = None
 
     def accept(self) -> Optional[tuple[MemoryPipe, str]]:
         return (self.queue.popleft(), "memory") if self.queue else None
 
-    def watch(self, call: Callable[[bool, bool, bool], None]) -> None:
+    def watch(self, call: Call) -> None:
         self.call = call
 
     def close(self) -> None:
-        self.network.doors.pop(self.address, None)
+        if self.network.doors.get(self.address) is self:   # the address may be another's by now
+            del self.network.doors[self.address]
 
 
 class MemoryAttempt:
-    def __init__(self, network: MemoryNetwork, address: tuple[str, int]) -> None:
+    def __init__(self, network: MemoryNetwork, address: tuple[str, int], owner: Optional[Owner] = None) -> None:
         self.network = network
+        self.owner = owner
         self.address = address
         self.pipe: Optional[MemoryPipe] = None
         self.failed = False
-        self.call: Optional[Callable[[bool, bool, bool], None]] = None
+        self.call: Optional[Call] = None
         network.later(network.delay(), self._reach)
 
     def _reach(self) -> None:
+        if self.owner is not None and not self.owner.alive:
+            return
         door = self.network.doors.get(self.address)
         if door is None or self.address in self.network.refuse:
             self.failed = True
         else:
-            near, far = MemoryPipe(self.network), MemoryPipe(self.network)
+            near, far = MemoryPipe(self.network, self.owner), MemoryPipe(self.network, door.owner)
             near.peer, far.peer = far, near
             self.pipe = near
             door.queue.append(far)
             if door.call is not None:
-                door.call(True, False, False)
+                _pass_on(door.owner, door.call, True, False, False)
         if self.call is not None:
-            self.call(False, True, False)
+            _pass_on(self.owner, self.call, False, True, False)
 
     def poll(self) -> Optional[MemoryPipe]:
         if self.failed:
             raise OSError(errno.ECONNREFUSED, "connection refused")
         return self.pipe
 
-    def watch(self, call: Callable[[bool, bool, bool], None]) -> None:
+    def watch(self, call: Call) -> None:
         self.call = call
 
     def close(self) -> None:
--- /dev/null
+++ b/cedarshift/loop/world.py
@@ -0,0 +1,167 @@
+"""Many hosts in one process, on one virtual clock and one network in memory: each has a loop of its own, as a process has.
+
+A host can be killed (its streams end, its tasks are never run again), paused (it stands still while the network goes on)
+and started anew. Time passes only when no host has anything to run, so a run of minutes takes seconds, and the same seed
+gives the same run: the order in which hosts run within an instant, and how long each message takes, come from it.
+"""
+from __future__ import annotations
+
+import random
+from typing import Any, Callable, Optional
+
+from cedarshift.loop.core import Loop, Task
+from cedarshift.loop.memory import Call, MemoryAttempt, MemoryDoor, MemoryNetwork, MemoryPipe, VirtualClock
+
+PIPES_LOOKED_OVER = 256   # closed pipes are forgotten whenever a host has come to hold so many more
+
+
+class Hung(Exception):
+    """Every host waits and nothing is due: the main task can never end."""
+
+
+class HostNetwork:
+    """The network as one host sees it."""
+
+    def __init__(self, host: Host, network: MemoryNetwork) -> None:
+        self.host = host
+        self.network = network
+
+    def poll(self, wait: Optional[int]) -> None:
+        raise RuntimeError("the world runs this host's loop; it does not wait by itself")
+
+    def listen(self, address: tuple[str, int]) -> MemoryDoor:
+        door = self.network.listen(address, self.host)
+        self.host.doors.append(door)
+        return door
+
+    def dial(self, address: tuple[str, int]) -> MemoryAttempt:
+        return self.network.dial(address, self.host)
+
+
+class Host:
+    """One program's place. `alive` until it is killed or has stopped its loop."""
+
+    def __init__(self, world: World, name: str, report: Optional[Callable[..., None]] = None) -> None:
+        self.world = world
+        self.name = name
+        self.loop = Loop(world.clock, HostNetwork(self, world.network), report)
+        self.doors: list[MemoryDoor] = []
+        self.pipes: list[MemoryPipe] = []
+        self.look_over_at = PIPES_LOOKED_OVER
+        self.alive = True
+        self.paused = False
+        self.missed: list[tuple[Call, bool, bool, bool]] = []   # edges that came while it stood still
+
+    def hear(self, call: Call, readable: bool, writable: bool, hung: bool) -> None:
+        if self.paused:
+            self.missed.append((call, readable, writable, hung))
+        elif self.alive:
+            call(readable, writable, hung)
+            self.world.rouse(self)
+
+    def adopt(self, pipe: MemoryPipe) -> None:
+        self.pipes.append(pipe)
+        if len(self.pipes) >= self.look_over_at:
+            self.pipes = [one for one in self.pipes if not one.closed]
+            self.look_over_at = len(self.pipes) + PIPES_LOOKED_OVER
+
+    def end(self) -> None:
+        """As when a process ends, however it does: the machine closes what it had open; what it had not sent is lost."""
+        if not self.alive:
+            return
+        self.alive = False
+        self.paused = False
+        self.missed.clear()
+        for door in self.doors:
+            door.close()
+        for pipe in self.pipes:
+            pipe.close()
+        self.pipes.clear()
+        self.world.forget(self)
+
+    def pause(self) -> None:
+        self.paused = self.alive
+        self.world.roused.pop(self, None)
+
+    def resume(self) -> None:
+        if self.paused:
+            self.paused = False
+            missed, self.missed = self.missed, []
+            for edge in missed:
+                self.hear(*edge)
+            self.world.rouse(self)
+
+
+class World:
+    """`delay(chance)` draws the microseconds that a message takes one way."""
+
+    def __init__(self, seed: int, delay: Optional[Callable[[random.Random], int]] = None) -> None:
+        self.chance = random.Random(seed)
+        self.clock = VirtualClock()
+        draw = delay or (lambda chance: 100 + chance.randrange(200))
+        self.network = MemoryNetwork(self.clock, lambda: draw(self.chance))
+        self.hosts: dict[Host, Optional[int]] = {}   # living hosts -> when each has something to run
+        self.roused: dict[Host, None] = {}           # those that have something now, in the order they came
+        self.turns = 0
+
+    def host(self, name: str, report: Optional[Callable[..., None]] = None) -> Host:
+        made = Host(self, name, report)
+        self.hosts[made] = None
+        self.rouse(made)
+        return made
+
+    def rouse(self, host: Host) -> None:
+        if host.alive and not host.paused:
+            self.roused[host] = None
+
+    def forget(self, host: Host) -> None:
+        self.hosts.pop(host, None)
+        self.roused.pop(host, None)
+
+    def run(self, main: Task) -> Any:
+        """Until `main`, a task of one of the hosts, has ended; its result. Raises its error, and Hung."""
+        for host in list(self.hosts):        # whatever was spawned or set from outside counts too
+            self.rouse(host)
+        while not main.done:
+            if self.roused:
+                self._turn(self._next())
+            else:
+                self._pass_time()
+        if main.error is not None:
+            raise main.error
+        return main.result
+
+    def _next(self) -> Host:
+        """Any of those that may run: real processes keep no order, and nothing may lean on one."""
+        if len(self.roused) == 1:
+            return next(iter(self.roused))
+        return list(self.roused)[self.chance.randrange(len(self.roused))]
+
+    def _turn(self, host: Host) -> None:
+        self.turns += 1
+        del self.roused[host]
+        host.loop.turn()
+        if not host.alive:
+            return
+        if host.loop.stopping:
+            host.end()
+            return
+        if host.loop.ready:
+            self.rouse(host)
+        self.hosts[host] = host.loop.next_due()
+
+    def _pass_time(self) -> None:
+        due = [at for host, at in self.hosts.items() if at is not None and not host.paused]
+        coming = self.network.next_due()
+        if coming is not None:
+            due.append(coming)
+        if not due:
+            raise Hung(f"at {self.clock.time} us: {', '.join(host.name for host in self.hosts)} wait for ever")
+        self.clock.time = max(self.clock.time, min(due))
+        self.network.run_due()
+        for host, at in self.hosts.items():
+            if at is not None and at <= self.clock.time:
+                self.rouse(host)
+
+
+__all__ = ["Host", "Hung", "World"]
--- a/cedarshift/pilot/learning.py
+++ b/cedarshift/pilot/learning.py
@@ -11,7 +11,7 @@
 from cedarshift.codec import messages as m
 from cedarshift.deployment.deployment import LearnTerms
 from cedarshift.interface import Entry
-from cedarshift.judge.trust import (BAD, DOUBT_MOST, HOPS_MOST, ON, Cold, Ill, Lender, Own, Trust, Word, heard_at)
+from cedarshift.judge.trust import (BAD, DOUBT_MOST, HOPS_MOST, ON, Ill, Lender, Own, Trust, Word, heard_at, started_by)
 from cedarshift.link import Link, connect
 from cedarshift.loop import StreamBroken, TimedOut
 from cedarshift.loop.core import Coroutine
@@ -77,6 +77,7 @@
         self.levels: dict[str, tuple[int, float]] = {}
         self.resume: dict[str, tuple[str, int]] = {}     # lender -> (version, next chunk)
         self.counts = {"chunks_learnt": 0, "facts_learnt": 0, "facts_refused": 0, "lessons_refused": 0}
+        self.starts: dict[str, tuple[str, int]] = {}     # endpoint -> (process, start), as the module was told them
         self.warned = 0                      # endpoints that lenders talk this pilot out of now
         self.done_at: Optional[int] = None               # when a whole lending had come for the first time
         self.begun = self.loop.now()
@@ -183,8 +184,7 @@
         trust.vouch(fact.origin, lender.soundness(asked_at))
         trust.hear_phase(name, fact.source, Word(fact.rev, heard, fact.phase in BAD, fact.phase, fact.start, hops, fact.origin))
         if fact.started >= 0:
-            # The latest that it can have started: a stated age may be too long, never too short for what it is used for.
-            trust.hear_start(name, Cold(asked_at - fact.started, fact.start))
+            trust.hear_start(name, fact.start, started_by(self.loop.now(), fact.started))
         if fact.sick_left:
             trust.hear_sick(name, Ill(asked_at + fact.sick_left, asked_at, hops, fact.origin))
         if fact.hops == 0:
@@ -200,6 +200,7 @@
             yield from self.loop.sleep(LOOK_AGAIN)
             if not self.service.listed and self.loop.now() >= self.begun + self.terms.patience:
                 self._offer_list()
+            self.trust.forget_starts(self.loop.now() - self.service.deployment.rules.warm_within)
             self.service.tell_learnt()
 
     def _offer_list(self) -> None:
@@ -209,8 +210,8 @@
         for name in sorted(self.trust.offered(now)):
             fact = self.endpoints.get(name)
             if fact is not None and name not in told:
-                cold = self.trust.cold.get(name)
-                entries.append(Entry(name, ON, fact.size, fact.zone, down(cold.started) if cold else None))
+                start = self.trust.starts.get((name, fact.start))
+                entries.append(Entry(name, ON, fact.size, fact.zone, None if start is None else max(1, down(start))))
         warned = [entry._replace(phase="fading") for name, entry in sorted(told.items())
                   if entry.phase == ON and self.trust.warning(name, None, now) is not None]
         if len(warned) <= DOUBT_MOST * len(told):
@@ -230,10 +231,17 @@
                 entry = entry._replace(phase="fading")
             started = self.trust.started(name, own[name], now, warm_within)
             if started is not None:
-                entry = entry._replace(started=max(1, down(started)))
+                entry = entry._replace(started=max(1, down(self._steady(name, own[name].start, started))))
             seen[name] = entry
         return seen
 
+    def _steady(self, name: str, process: str, started: int) -> int:
+        """What was handed on for a process stands: to the module another time of starting is another process, of which it
+        knows nothing yet."""
+        if self.starts.get(name, ("", 0))[0] != process:
+            self.starts[name] = (process, started)
+        return self.starts[name][1]
+
     def sums_for(self, first_hand: set[str]) -> list[tuple[int, str, m.LentSum]]:
         """Sums not handed on yet, oldest first, of endpoints of which nothing was heard first-hand."""
         known = self.service.brain.endpoints
@@ -264,8 +272,8 @@
                              "hops": word.hops, "source": source, "rev": word.rev, "age_s": (now - word.heard) / 1e6,
                              "weight": round(weigh(word, now), 3)})
         return {"phases": rows,
-                "starts": [{"endpoint": name, "start": c.start, "age_s": (now - c.started) / 1e6}
-                           for name, c in sorted(trust.cold.items())],
+                "starts": [{"endpoint": name, "start": process, "age_s": (now - at) / 1e6}
+                           for (name, process), at in sorted(trust.starts.items())],
                 "sick": [{"endpoint": name, "left_s": (i.until - now) / 1e6, "origin": i.origin, "hops": i.hops}
                          for name, i in sorted(trust.ill.items()) if i.until > now],
                 "lenders": [{"origin": one.life, "list_age_s": (now - one.list_heard) / 1e6, "in_charge": one.in_charge,
--- a/cedarshift/rehearsal/faults.py
+++ b/cedarshift/rehearsal/faults.py
@@ -79,12 +79,9 @@
 
     def _stop_pilot(self, v: dict[str, Any]) -> Coroutine:
         name = f"p{v['which']}"
-        process = self.stage.fleet.running.pop(name)
-        process.send_signal(signal.SIGTERM)
+        self.stage.fleet.leave(name)
         yield from self._wait(v["for"])
-        if process.poll() is None:
-            process.kill()
-        process.wait()
+        self.stage.fleet.kill(name)
         yield from self._restart(name, 0)
 
     def _kill_store(self, v: dict[str, Any]) -> Coroutine:
--- a/cedarshift/rehearsal/fleet.py
+++ b/cedarshift/rehearsal/fleet.py
@@ -6,7 +6,7 @@
 import signal
 import subprocess
 import sys
-from typing import Any, Optional
+from typing import Any, Optional, Protocol
 
 import msgspec
 
@@ -68,6 +68,7 @@
         self.loop = loop
         self.folder = folder
         self.running: dict[str, subprocess.Popen] = {}
+        self.leaving: dict[str, subprocess.Popen] = {}
         self.commands: dict[str, list[str]] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
         self.ended_early: list[str] = []
@@ -100,7 +101,7 @@
             self.running[name] = subprocess.Popen(self.commands[name], stdin=subprocess.DEVNULL, stdout=log, stderr=log)
 
     def kill(self, name: str) -> None:
-        process = self.running.pop(name, None)
+        process = self.running.pop(name, None) or self.leaving.pop(name, None)
         if process is not None:
             process.send_signal(signal.SIGCONT)
             process.kill()
@@ -108,6 +109,13 @@
             with open(self.path(f"record-{name}.jsonl"), "ab") as record:   # what it had in hand ended here
                 record.write(msgspec.json.encode([self.loop.now(), "died"]) + b"\n")
 
+    def leave(self, name: str) -> None:
+        """Asks it to end by itself; a `kill` later takes away what has not."""
+        process = self.running.pop(name, None)
+        if process is not None:
+            process.send_signal(signal.SIGTERM)
+            self.leaving[name] = process
+
     def signal(self, name: str, number: int) -> None:
         process = self.running.get(name)
         if process is not None and process.poll() is None:
@@ -125,6 +133,7 @@
         return [f"{name} (exit {code})" for name, code in gone]
 
     def stop_all(self) -> None:
+        self.running.update(self.leaving)
         for name in list(self.running):
             self.signal(name, signal.SIGCONT)
             self.signal(name, signal.SIGTERM)
@@ -164,7 +173,11 @@
             return None
 
 
-def placed(deployment: Deployment, ports: Ports, folder: str, list_address: tuple[str, int]) -> Deployment:
+class TakesPorts(Protocol):
+    def take(self) -> tuple[str, int]: ...
+
+
+def placed(deployment: Deployment, ports: TakesPorts, folder: str, list_address: tuple[str, int]) -> Deployment:
     """The deployment with free ports in place of its own, its list from the rehearsal's service."""
     pilots = tuple(dataclasses.replace(p, listen=ports.take(), admin=ports.take()) for p in deployment.pilots)
     store = deployment.store
--- a/cedarshift/rehearsal/run.py
+++ b/cedarshift/rehearsal/run.py
@@ -10,11 +10,14 @@
 
 from cedarshift.loop.core import Coroutine
 from cedarshift.loop.epoll import real_loop
+from cedarshift.loop.world import World
 from cedarshift.rehearsal.day import Day
 from cedarshift.rehearsal.evidence import Evidence, Limits, read_records
 from cedarshift.rehearsal.faults import Faults
+from cedarshift.rehearsal.fleet import Fleet, Ports
 from cedarshift.rehearsal.report import make_report, write_report
 from cedarshift.rehearsal.stage import Stage
+from cedarshift.rehearsal.virtual import VirtualFleet, VirtualPorts
 
 WARM_MOST = 40_000_000    # us for all slices to have owners after the start
 LEAD = 1_500_000          # us from the clients' start to the day's begin
@@ -33,25 +36,41 @@
         self.ended: list[str] = []
 
 
-def play(day: Day, out: str, seed: Optional[int], say: Say) -> dict[str, Any]:
-    """Returns the report; it also stands as report.json and report.html in the run's folder."""
+def play(day: Day, out: str, seed: Optional[int], say: Say, virtual: bool = False) -> dict[str, Any]:
+    """Returns the report; it also stands as report.json and report.html in the run's folder. `virtual` plays the day in
+    this process on a virtual clock (`rehearsal/virtual.py` says what that leaves out)."""
     folder = out or os.path.join("rehearsals", f"{day.name}-{time.strftime('%Y%m%d-%H%M%S')}")
     os.makedirs(folder, exist_ok=True)
     if any(name.startswith("record-") for name in os.listdir(folder)):
         raise FileExistsError(f"{folder} holds records of another run")
-    loop = real_loop(lambda event, **fields: say(f"{event} {fields}") if say else None)
-    stage = Stage(loop, day, os.path.abspath(folder), day.seed if seed is None else seed)
-    hall = Hall()
+    seed, hall = day.seed if seed is None else seed, Hall()
+    run = _play_virtual if virtual else _play_real
+    run(day, os.path.abspath(folder), seed, hall, say or (lambda text: None))
+    evidence = Evidence(limits_of(day), read_records(folder), hall.begin, hall.end)
+    report = make_report(day, evidence, hall.ended, seed=seed)
+    write_report(report, evidence, folder)
+    return report
+
+
+def _play_real(day: Day, folder: str, seed: int, hall: Hall, say: Callable[[str], None]) -> None:
+    loop = real_loop(lambda event, **fields: say(f"{event} {fields}"))
+    stage = Stage(loop, day, Fleet(loop, folder), Ports(loop), seed)
     signal.signal(signal.SIGTERM, _interrupted)
     try:
-        loop.run(loop.spawn(_day(stage, day, hall, say or (lambda text: None)), "day"))
+        loop.run(loop.spawn(_day(stage, day, hall, say), "day"))
     finally:
         stage.fleet.stop_all()
         stage.ports.release()
-    evidence = Evidence(limits_of(day), read_records(folder), hall.begin, hall.end)
-    report = make_report(day, evidence, hall.ended, seed=stage.seed)
-    write_report(report, evidence, folder)
-    return report
+
+
+def _play_virtual(day: Day, folder: str, seed: int, hall: Hall, say: Callable[[str], None]) -> None:
+    world = World(seed)
+    loop = world.host("rehearsal", lambda event, **fields: say(f"{event} {fields}")).loop
+    stage = Stage(loop, day, VirtualFleet(world, loop, folder, seed), VirtualPorts(), seed)
+    try:
+        world.run(loop.spawn(_day(stage, day, hall, say), "day"))
+    finally:
+        stage.fleet.stop_all()
 
 
 def _interrupted(number: int, frame: object) -> None:
--- a/cedarshift/rehearsal/stage.py
+++ b/cedarshift/rehearsal/stage.py
@@ -3,7 +3,7 @@
 
 import dataclasses
 import random
-from typing import Any
+from typing import Any, Union
 
 from cedarshift.deployment import Deployment
 from cedarshift.deployment.deployment import LearnTerms
@@ -11,6 +11,7 @@
 from cedarshift.loop.core import Coroutine
 from cedarshift.rehearsal.day import Day, EndpointKind, Fault
 from cedarshift.rehearsal.fleet import HOST, Fleet, Ports, placed, write_deployment
+from cedarshift.rehearsal.virtual import VirtualFleet, VirtualPorts
 from cedarshift.standins.client import Burst, ClientOp, ClientPlan
 from cedarshift.standins.endpoint import EndpointPlan
 from cedarshift.standins.lists import ListPlan
@@ -23,17 +24,20 @@
 
 
 class Stage:
-    def __init__(self, loop: Loop, day: Day, folder: str, seed: int) -> None:
+    """`fleet` and `ports` decide whether the programs are processes on loopback or hosts on a virtual clock."""
+
+    def __init__(self, loop: Loop, day: Day, fleet: Union[Fleet, VirtualFleet], ports: Union[Ports, VirtualPorts],
+                 seed: int) -> None:
         self.loop = loop
         self.day = day
         self.seed = seed
         self.chance = random.Random(seed)
-        self.fleet = Fleet(loop, folder)
+        self.fleet = fleet
         self.recorder = Recorder(loop, self.fleet.path("record-runner.jsonl"))
-        self.ports = Ports(loop)
+        self.ports = ports
         self.list_address = self.ports.take()
         deployment = dataclasses.replace(day.deployment, learn=LEARNT) if day.learn else day.deployment
-        self.deployment: Deployment = placed(deployment, self.ports, folder, self.list_address)
+        self.deployment: Deployment = placed(deployment, self.ports, fleet.folder, self.list_address)
         self.zones = list(self.deployment.zones) or [""]
         self.pilots = [p.name for p in self.deployment.pilots]
         self.proxies = [f"x{n}" for n in range(day.proxies)]
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -343,3 +343,19 @@
     assert sum(facts for facts, _ in sizes) >= 5_500 and len(sizes) == 6 + 13 + 1
     assert max(facts for facts, _ in sizes) <= 400 and max(size for _, size in sizes) < 100_000
     assert len(lender.in_force_us) > before and all("a" not in f.owners(x).values() for x in f.agents)
+
+
+def test_a_start_is_handed_on_once_so_that_later_lendings_do_not_wipe_out_what_was_seen_since(tmp_path):
+    f = fleet(tmp_path)
+    kill(f, f.pilots["p0"])
+    drain_and_list(tmp_path, {"a": ("on", "2"), "b": ("on", "1"), "c": ("on", "1"), "d": ("on", "1")})
+    f.run(3)
+    taught = f.new_pilot("p0", 8)
+    f.run(1)
+    before = taught.brain.endpoints["a"].started
+    taught._take_sums([ZoneMet("a", "z", 10, 1, 500_000, 500_000)], [])
+    f.run(0.1)
+    bound = taught.learning.trust.starts["a", "2"]
+    taught.learning.trust.hear_start("a", "2", bound - 5_000)     # a quicker answer: a better bound
+    f.run(1)
+    assert taught.brain.endpoints["a"].started == before and taught.brain.endpoints["a"].samples
--- a/tests/test_trust.py
+++ b/tests/test_trust.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from cedarshift.judge import trust as tr
-from cedarshift.judge.trust import Cold, Ill, Lender, Own, Trust, Word
+from cedarshift.judge.trust import Ill, Lender, Own, Trust, Word
 
 S = 1_000_000
 NOW = 1_000 * S
@@ -80,7 +80,7 @@
     (own(), NOW - 3 * S), (own(start="2"), None), (own(started=5), None)])
 def test_a_cold_start_is_borrowed_for_the_process_that_is_listed_and_only_where_nothing_is_known(entry, started):
     t = Trust()
-    t.hear_start("e", Cold(NOW - 3 * S, "1"))
+    t.hear_start("e", "1", NOW - 3 * S)
     assert t.started("e", entry, NOW, 15 * S) == started
     assert t.started("e", entry, NOW + 13 * S, 15 * S) is None
 
@@ -163,3 +163,17 @@
         heard = min(heard, tr.heard_at(asked, stated))
         clock += takes
         assert heard <= truth
+
+
+@pytest.mark.parametrize("received, age, latest", [(100 * S, 10 * S, 90.1 * S), (100 * S, 0, 100 * S)])
+def test_a_process_is_taken_for_as_young_as_its_stated_age_allows(received, age, latest):
+    assert tr.started_by(received, age) == latest
+
+
+def test_of_several_bounds_on_one_start_the_earliest_stands_and_another_process_has_its_own():
+    t = Trust()
+    for process, latest in (("1", NOW - 3 * S), ("1", NOW - 4 * S), ("1", NOW - 2 * S), ("2", NOW - S)):
+        t.hear_start("e", process, latest)
+    assert t.started("e", own(), NOW, 15 * S) == NOW - 4 * S and t.started("e", own(start="2"), NOW, 15 * S) == NOW - S
+    t.forget_starts(NOW - 2 * S)
+    assert t.started("e", own(), NOW, 15 * S) is None and t.started("e", own(start="2"), NOW, 15 * S) == NOW - S
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,189 @@
+"""Many hosts on one virtual clock: kills, pauses, ends, and that a seed is a whole run."""
+import os
+
+import pytest
+
+from cedarshift.loop import StreamBroken, dial, listen
+from cedarshift.loop.world import Hung, World
+from cedarshift.rehearsal.day import load_day
+from cedarshift.rehearsal.run import play
+from program import SECOND
+
+PLACE = ("10.0.0.1", 80)
+
+
+def echo(loop, heard):
+    """Serves one stream: what comes is noted with its time and sent back."""
+    listener = listen(loop, PLACE)
+
+    def run():
+        stream = yield from listener.accept()
+        while data := (yield from stream.read()):
+            heard.append((loop.now(), data))
+            stream.write(data)
+    loop.spawn(run(), "echo")
+
+
+def pair(seed=1, delay=lambda chance: 500):
+    world, heard = World(seed, delay), []
+    server, client = world.host("server"), world.host("client")
+    echo(server.loop, heard)
+    return world, server, client, heard
+
+
+def wait(loop, seconds):
+    yield from loop.sleep(int(seconds * SECOND))
+
+
+@pytest.mark.parametrize("after, answers", [(0.0, 0), (0.5, 2), (2.0, 8)])
+def test_a_killed_hosts_streams_end_and_its_tasks_run_no_more(after, answers):
+    world, server, client, heard = pair()
+    got = []
+
+    def ask():
+        stream = yield from dial(client.loop, PLACE)
+        for number in range(8):
+            stream.write(b"%d" % number)
+            got.append((yield from stream.read()))
+            yield from client.loop.sleep(SECOND // 4)
+
+    def killer():
+        yield from client.loop.sleep(int(after * SECOND) + 600)
+        server.end()
+    client.loop.spawn(killer(), "killer")
+    task = client.loop.spawn(ask(), "ask")
+    try:
+        world.run(task)
+    except StreamBroken:
+        pass
+    assert len([one for one in got if one]) == answers == len(heard)
+    assert PLACE not in world.network.doors and server not in world.hosts
+
+
+def test_a_paused_host_stands_still_while_time_goes_on_and_then_hears_what_came():
+    world, server, client, heard = pair()
+
+    def ask():
+        stream = yield from dial(client.loop, PLACE)
+        server.pause()
+        stream.write(b"early")
+        yield from client.loop.sleep(20 * SECOND)
+        begun = client.loop.now()
+        server.resume()
+        assert (yield from stream.read()) == b"early"
+        return client.loop.now() - begun
+    took = world.run(client.loop.spawn(ask(), "ask"))
+    assert took < SECOND and heard[0][0] >= 20 * SECOND
+
+
+def test_a_paused_hosts_timers_wait_until_it_goes_on():
+    world, rang = World(1), []
+    sleeper, other = world.host("sleeper"), world.host("other")
+    sleeper.loop.at(world.clock.now() + SECOND, lambda: rang.append(world.clock.now()))
+    sleeper.loop.spawn(wait(sleeper.loop, 30), "stays")
+    sleeper.pause()
+    world.run(other.loop.spawn(wait(other.loop, 5), "wait"))
+    assert rang == []
+    sleeper.resume()
+    world.run(other.loop.spawn(wait(other.loop, 1), "wait"))
+    assert len(rang) == 1 and rang[0] > 5 * SECOND
+
+
+def test_a_door_is_free_again_once_its_host_has_ended():
+    world, server, client, heard = pair()
+    world.run(client.loop.spawn(wait(client.loop, 1), "wait"))
+    server.end()
+    echo(world.host("again").loop, heard)
+
+    def ask():
+        stream = yield from dial(client.loop, PLACE)
+        stream.write(b"x")
+        return (yield from stream.read())
+    assert world.run(client.loop.spawn(ask(), "ask")) == b"x"
+
+
+def test_a_host_that_stops_itself_has_ended():
+    world = World(1)
+    short, other = world.host("short"), world.host("other")
+    short.loop.at(world.clock.now() + SECOND, short.loop.stop)
+    world.run(other.loop.spawn(wait(other.loop, 2), "wait"))
+    assert not short.alive and other.alive
+
+
+def test_a_world_in_which_all_wait_for_ever_says_so():
+    world = World(1)
+    host = world.host("lonely")
+
+    def forever():
+        host.loop.waker()
+        yield
+    with pytest.raises(Hung, match="lonely"):
+        world.run(host.loop.spawn(forever(), "forever"))
+
+
+def test_many_short_streams_leave_nothing_behind():
+    world = World(1)
+    server, client = world.host("server"), world.host("client")
+    listener = listen(server.loop, PLACE)
+
+    def serve():
+        while True:
+            stream = yield from listener.accept()
+            stream.close()
+
+    def ask():
+        for _ in range(1000):
+            stream = yield from dial(client.loop, PLACE)
+            assert (yield from stream.read()) == b""
+            stream.close()
+    server.loop.spawn(serve(), "serve")
+    world.run(client.loop.spawn(ask(), "ask"))
+    assert len(client.pipes) < 600 and len(server.pipes) < 600
+
+
+DAY = """
+rehearsal "small" {
+  deployment = "deployment-tiles.hcl"
+  length = "6s"
+  endpoints = 3
+  proxies = 2
+  clients = 1
+  rate = 30
+  work = "60ms"
+  fault "kill_pilot" {
+    at = "500ms"
+    for = "1s"
+  }
+  fault "pause_proxy" {
+    at = "2s"
+    for = "1s"
+    which = 1
+  }
+  fault "stop_pilot" {
+    at = "3s"
+    for = "1s"
+    which = 1
+  }
+  fault "kill_store" {
+    at = "4s"
+    for = "500ms"
+  }
+}
+"""
+
+
+def records(folder):
+    return {name: open(folder / name, "rb").read() for name in sorted(os.listdir(folder)) if name.startswith("record-")}
+
+
+def test_the_same_seed_is_the_same_day_to_the_byte_and_another_seed_another(tmp_path):
+    days = os.path.dirname(__file__) + "/../cedarshift/rehearsal/days/"
+    (tmp_path / "deployment-tiles.hcl").write_text(open(days + "deployment-tiles.hcl").read())
+    (tmp_path / "small.hcl").write_text(DAY)
+    day = load_day(str(tmp_path / "small.hcl"))
+    reports = [play(day, str(tmp_path / name), seed, None, virtual=True) for name, seed in (("a", 4), ("b", 4), ("c", 5))]
+    assert records(tmp_path / "a") == records(tmp_path / "b") != records(tmp_path / "c")
+    assert all(rule["held"] for report in reports for rule in report["rules"]) and not reports[0]["crashed"]
+    assert reports[0]["service"]["ops"] > 100 and reports[0]["service"]["earned_share"] > 0.5
+    said = [what for _, what, _ in reports[0]["faults"]]
+    assert said.count("started again") == 3
