--- a/cedarshift/cli/daemons.py
+++ b/cedarshift/cli/daemons.py
@@ -1,6 +1,7 @@
 """The pilot and the store as processes: started, reloaded and stopped by signals."""
 from __future__ import annotations
 
+import random
 import signal
 import sqlite3
 from typing import Any, Callable, Optional
@@ -13,6 +14,8 @@
 from cedarshift.loop.epoll import Signals, fresh_bytes, real_loop
 from cedarshift.pilot import PilotService
 from cedarshift.pilot.admin import admin_page
+from cedarshift.roster.formats import Member
+from cedarshift.roster.register import RegisterTerms, Registration
 from cedarshift.store.ledger import Ledger
 from cedarshift.store.service import StoreService
 from cedarshift.web import serve_http
@@ -114,4 +117,26 @@
     return loop.run(loop.spawn(main(), "main"))
 
 
-__all__ = ["Any", "run_pilot", "run_store"]
+def run_registration(deployment: Deployment, member: Member, drain: int, report: Report) -> int:
+    """Registered until SIGTERM or SIGINT; then it drains for a while and leaves."""
+    nodes = deployment.listed.nodes
+    assert nodes is not None
+    loop = real_loop(report)
+    signals = Signals(loop, loop.network, [signal.SIGTERM, signal.SIGINT])  # type: ignore[arg-type]
+    chance = random.Random(fresh_bytes(8))
+    if not member.start:
+        member = member._replace(start=fresh_bytes(6).hex())
+    terms = RegisterTerms(nodes.servers, nodes.path, nodes.session_timeout, nodes.format, deployment.name, nodes.auth)
+    kept = Registration(loop, terms, member, chance.random, report)
+
+    def main() -> Coroutine:
+        yield from signals.next()
+        report("draining", endpoint=member.endpoint, for_s=drain / 1e6)
+        kept.drain()
+        yield from loop.sleep(drain)
+        yield from kept.leave()
+        return 0
+    return loop.run(loop.spawn(main(), "main"))
+
+
+__all__ = ["Any", "run_pilot", "run_registration", "run_store"]
--- a/cedarshift/cli/main.py
+++ b/cedarshift/cli/main.py
@@ -175,6 +175,12 @@
 def tables(file: str, name: str, as_json: bool, facts: bool) -> None:
     """What the running pilot NAME of a deployment FILE holds."""
     from cedarshift.cli.tables import fetch, shown, shown_facts
+    click.echo(_asked(file, name, fetch, "/facts" if facts else "/tables",
+                      None if as_json else shown_facts if facts else shown))
+
+
+def _asked(file: str, name: str, fetch: Any, target: str, show: Any) -> str:
+    """A page of the running pilot NAME, as text where `show` makes one of it."""
     deployment = _load(file)
     try:
         place = deployment.pilot(name)
@@ -183,10 +189,48 @@
     if place.admin is None:
         raise click.ClickException(f"pilot {name} has no admin address in {file}")
     try:
-        held = fetch(place.admin, "/facts" if facts else "/tables")
+        held = fetch(place.admin, target)
     except OSError as error:
         raise click.ClickException(f"pilot {name}: {error}") from None
-    click.echo(held.decode() if as_json else shown_facts(held) if facts else shown(held))
+    return show(held) if show is not None else held.decode()
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+@click.argument("name")
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+def members(file: str, name: str, as_json: bool) -> None:
+    """Where the running pilot NAME has its list from, what it sees there, and how old that is."""
+    from cedarshift.cli.tables import fetch, shown_members
+    click.echo(_asked(file, name, fetch, "/members", None if as_json else shown_members))
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+@click.option("--endpoint", required=True, help="host:port, as proxies are to reach it.")
+@click.option("--size", type=click.FloatRange(min=0, min_open=True), default=1.0, help="What it can do against the others.")
+@click.option("--zone", default="", help="One of the deployment's zones.")
+@click.option("--start", default="", help="Names the process; default: drawn anew at each start.")
+@click.option("--drain", default="8s", help='How long it is announced as draining before it leaves, such as "8s".')
+@click.pass_context
+def register(ctx: click.Context, file: str, endpoint: str, size: float, zone: str, start: str, drain: str) -> None:
+    """Keep an endpoint's ephemeral node alive, as the roster of a deployment FILE says; SIGTERM drains it, then it leaves."""
+    from cedarshift.cli.daemons import run_registration
+    from cedarshift.deployment import hcl
+    from cedarshift.roster.formats import Member
+    deployment = _load(file)
+    if deployment.listed.nodes is None:
+        raise click.ClickException(f"{file} has no block roster: there is nowhere to register")
+    place, allowed = hcl.address(endpoint)
+    if place is None:
+        raise click.BadParameter(f"{endpoint!r}: {allowed} is allowed", param_hint="--endpoint")
+    if zone and zone not in deployment.zones:
+        raise click.BadParameter(f"{zone!r} is none of {', '.join(deployment.zones) or 'the zones (none)'}", param_hint="--zone")
+    span, allowed = hcl.span()(drain)
+    if span is None:
+        raise click.BadParameter(f"{drain!r}: {allowed} is allowed", param_hint="--drain")
+    sys.exit(run_registration(deployment, Member(endpoint, "on", size, zone, start), span, make_report(
+        ctx.obj, endpoint=endpoint)))
 
 
 @main.command()
--- a/cedarshift/cli/tables.py
+++ b/cedarshift/cli/tables.py
@@ -61,3 +61,26 @@
     out += [f"{one['endpoint']:<24} found sick, {one['left_s']:.1f} s left, by {one['origin']}" for one in held["sick"]]
     out.append(", ".join(f"{name} {count}" for name, count in held["counts"].items()))
     return "\n".join(out)
+
+
+def shown_members(raw: bytes) -> str:
+    """The source of the list, its nodes, and what the module was told."""
+    held: dict[str, Any] = msgspec.json.decode(raw)
+    heard = held.get("heard_s")
+    out = [f"pilot {held['pilot']}, source {held['source']}, heard "
+           + ("never" if heard is None else f"{heard:.1f} s ago")]
+    if "state" in held:
+        out += [f"{held['state']} for {held['state_since_s']:.0f} s" + (f" at {held['server']}" if held["server"] else ""),
+                f"session {held['session']}, time-out {held['timeout_ms']} ms, zxid {held['zxid']}, {held['watch']} watch"]
+        if held["denied"]:
+            out.append(f"NOT READ: {held['denied']}")
+        out += ["", f"{'node':<28} {'endpoint':<22} {'phase':<7} {'size':>6} {'zone':<10} {'start':<10} {'session':<14} {'read':>8}"]
+        out += [f"{m['node']:<28} {m['endpoint']:<22} {m['phase']:<7} {m['size']:>6g} {m['zone']:<10} {m['start']:<10} "
+                f"{m['session']:<14} {m['age_s']:>6.0f} s" for m in held["members"]]
+        out += [f"vanished {v['since_s']:.1f} s ago, {'stands in doubt' if v['in_doubt'] else 'held back'}: {v['endpoint']}"
+                for v in held["vanished"]]
+        out += [f"NOT UNDERSTOOD: {one['node']}: {one['reason']}" for one in held["refused"]]
+    out += ["", f"{'listed':<22} {'phase':<7} {'size':>6} {'zone':<10} started"]
+    out += [f"{e['endpoint']:<22} {e['phase']:<7} {e['size']:>6g} {e['zone']:<10} "
+            + ("long ago" if e["start_s"] is None else f"{e['start_s']:.0f} s ago") for e in held["listed"]]
+    return "\n".join(out)
--- a/cedarshift/deployment/deployment.py
+++ b/cedarshift/deployment/deployment.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Any, Optional
 
+from cedarshift.codec.zookeeper.jute import check_path
 from cedarshift.deployment import hcl
 from cedarshift.deployment.hcl import MUST, Checked, FileRefused, Problem, Shape
 
@@ -42,15 +43,32 @@
     back_after: int
 
 
+@dataclass(frozen=True)
+class NodeRoster:
+    """Members that keep ephemeral nodes under `path`. `hold`: how long a vanished node may stay untold, which is taken off
+    the drain's grace. `auth`: (scheme, credential) each."""
+    servers: tuple[Address, ...]
+    path: str
+    session_timeout: int
+    format: str
+    port_name: str
+    watch: str
+    read_only: bool
+    hold: int
+    auth_file: str
+    auth: tuple[tuple[str, bytes], ...]
+
+
 @dataclass(frozen=True)
 class ListSource:
-    """`service` or `file`, never both. `saved`: where a pilot keeps the newest list for its next start."""
+    """`service`, `file` or `nodes`, one of them. `saved`: where a pilot keeps the newest list for its next start."""
     service: Optional[Address]
     file: str
     saved: str
     refresh: int
     asks: bool
     gone_binds: bool
+    nodes: Optional[NodeRoster] = None
 
 
 @dataclass(frozen=True)
@@ -148,6 +166,11 @@
 LIST = Shape({
     "service": (hcl.address, None), "file": (hcl.text, ""), "saved": (hcl.text, ""),
     "refresh": (hcl.span(10_000), 250_000), "asks": (hcl.flag, False), "gone_binds": (hcl.flag, True)})
+ROSTER = Shape({
+    "servers": (hcl.addresses, MUST), "path": (hcl.text, MUST), "session_timeout": (hcl.span(400_000), 6_000_000),
+    "format": (hcl.choice("serverset", "curator", "plain"), "serverset"), "port_name": (hcl.text, ""),
+    "watch": (hcl.choice("recursive", "one-shot"), "recursive"), "read_only": (hcl.flag, True),
+    "hold": (hcl.span(), 1_000_000), "auth": (hcl.text, ""), "saved": (hcl.text, ""), "gone_binds": (hcl.flag, True)})
 CHANNEL = Shape({
     "lines_per_s": (hcl.number(1), 6_000.0), "lines_waiting_most": (hcl.number(1), 9_000.0),
     "lines_per_message": (hcl.number(), 16.0), "messages_most": (hcl.whole(), 0),
@@ -171,7 +194,8 @@
     "slices": (hcl.whole(0, 60_000), MUST), "zones": (hcl.texts, []), "single_owner": (hcl.flag, True),
     "pick": (hcl.choice("even", "chance"), "even"), "levels": (hcl.choice("fraction", "none"), "fraction"),
     "intake_per_s": (hcl.number(1), 150.0), "proxies_most": (hcl.whole(1), 1_000), "secret_file": (hcl.text, "")},
-    {"op_type": (OP_TYPE, 1, 1, 64), "pilot": (PILOT, 1, 1, 64), "store": (STORE, 0, 0, 1), "list": (LIST, 0, 1, 1),
+    {"op_type": (OP_TYPE, 1, 1, 64), "pilot": (PILOT, 1, 1, 64), "store": (STORE, 0, 0, 1), "list": (LIST, 0, 0, 1),
+     "roster": (ROSTER, 1, 0, 1),
      "channel": (CHANNEL, 0, 0, 1), "proxy": (PROXY, 0, 1, 1), "rules": (RULES, 0, 0, 1),
      "learn": (LEARN, 0, 0, 1)})
 FILE = Shape({}, {"deployment": (DEPLOYMENT, 1, 1, 1)})
@@ -196,19 +220,22 @@
     return got[0] if got else Checked([], body.line, {n: d for n, (_, d) in shape.attributes.items()}, {}, {})
 
 
-def _build(body: Checked, path: str, problems: list[Problem]) -> Deployment:
+def _build(body: Checked, path: str, problems: list[Problem]) -> Optional[Deployment]:
     ops = tuple(ServedOp(name=op.labels[0], **op.values) for op in body.blocks["op_type"])
     pilots = tuple(PilotPlace(name=p.labels[0], **p.values) for p in body.blocks["pilot"])
     store = StorePlace(**body.blocks["store"][0].values) if body.blocks["store"] else None
     rules = Guarantees(**_only(body, "rules", RULES).values)
     proxy = ProxyTerms(**body.blocks["proxy"][0].values)
     secret = _secret(body, path, problems)
+    listed = _listed(body, path, problems)
+    if problems:
+        return None
     _agree(body, ops, pilots, store, rules, proxy, path, problems)
     return Deployment(
         name=body.labels[0], file=path, slices=body["slices"], zones=tuple(body["zones"]),
         single_owner=body["single_owner"] and body["slices"] > 0, pick=body["pick"], levels=body["levels"],
         intake_per_s=body["intake_per_s"], proxies_most=body["proxies_most"], secret=secret, op_types=ops,
-        pilots=pilots, store=store, listed=ListSource(**body.blocks["list"][0].values),
+        pilots=pilots, store=store, listed=listed,
         channel=Channel(**_only(body, "channel", CHANNEL).values), proxy=proxy, rules=rules, learn=_learn(body))
 
 
@@ -219,6 +246,57 @@
     return LearnTerms(sources=tuple(found.pop("from")), span=found.pop("for"), **found)
 
 
+def _listed(body: Checked, path: str, problems: list[Problem]) -> ListSource:
+    """From the block list or the block roster, of which there must be one."""
+    blocks = body.blocks["list"] + body.blocks["roster"]
+    if len(blocks) != 1:
+        problems.append(Problem(path, body.line, f"{len(blocks)} blocks list and roster, one of them is wanted"))
+    if body.blocks["list"]:
+        listed = body.blocks["list"][0]
+        if bool(listed["service"]) == bool(listed["file"]):
+            problems.append(Problem(path, listed.line, "a list has either service or file"))
+        return ListSource(**listed.values)
+    if not body.blocks["roster"]:
+        return ListSource(None, "", "", 0, False, True)
+    block = body.blocks["roster"][0]
+    return ListSource(None, "", block["saved"], 0, False, block["gone_binds"], _roster(block, path, problems))
+
+
+def _roster(block: Checked, path: str, problems: list[Problem]) -> NodeRoster:
+    values = dict(block.values)
+    if block.labels != ["zookeeper"]:
+        problems.append(Problem(path, block.line, f'roster {block.labels[0]!r} is unknown; known: "zookeeper"'))
+    wrong = check_path(values["path"])
+    if wrong or values["path"] == "/":
+        problems.append(Problem(path, block.lines["path"], f"path {values['path']!r}: {wrong or 'it is the root'}"))
+    if values["port_name"] and values["format"] == "plain":
+        problems.append(Problem(path, block.lines["port_name"], "port_name has no meaning with the format plain"))
+    auth_file = values.pop("auth")
+    auth = _credentials(auth_file, block, path, problems) if auth_file else ()
+    del values["saved"], values["gone_binds"]
+    return NodeRoster(auth_file=auth_file, auth=auth, **{**values, "servers": tuple(values["servers"])})
+
+
+def _credentials(name: str, block: Checked, path: str, problems: list[Problem]) -> tuple[tuple[str, bytes], ...]:
+    """Lines such as "digest user:password" of a file that lies beside the deployment file unless its path is absolute."""
+    place, line = os.path.join(os.path.dirname(path), name), block.lines["auth"]
+    try:
+        with open(place, "rb") as source:
+            rows = [(number, row.strip()) for number, row in enumerate(source.read().splitlines(), 1) if row.strip()]
+    except OSError as error:
+        problems.append(Problem(path, line, f"auth {place}: {error.strerror}"))
+        return ()
+    found = []
+    for number, row in rows:
+        scheme, _, credential = row.partition(b" ")
+        if scheme != b"digest" or b":" not in credential:
+            problems.append(Problem(path, line, f'auth {place}:{number}: "digest user:password" is allowed'))
+        found.append((scheme.decode(errors="replace"), credential))
+    if not rows:
+        problems.append(Problem(path, line, f"auth {place}: it holds no credential"))
+    return tuple(found)
+
+
 def _secret(body: Checked, path: str, problems: list[Problem]) -> bytes:
     """The first line of the secret's file, which lies beside the deployment file unless its path is absolute."""
     if not body["secret_file"]:
@@ -247,9 +325,6 @@
         if op.writes and body["single_owner"] and body["slices"] and proxy.in_flight_most < op.op_timeout:
             wrong(body.blocks["proxy"][0].lines["in_flight_most"],
                   f"in_flight_most is under the op_timeout of {op.name!r}, which writes: a write may outlast it")
-    listed = body.blocks["list"][0]
-    if bool(listed["service"]) == bool(listed["file"]):
-        wrong(listed.line, "a list has either service or file")
     if body["slices"] and store is None:
         wrong(body.line, "a deployment with slices needs a block store")
     if store is not None and store.embedded and len(pilots) > 1:
@@ -258,6 +333,10 @@
         wrong(body.blocks["store"][0].lines["session_lease"], "session_lease is under half a proxy's lease")
     if rules.drain_grace <= proxy.connect_most + body_transit(body):
         wrong(body.line, "drain_grace does not exceed connect_most and transit_most together: no drain could be kept")
+    for block in body.blocks["roster"]:
+        if rules.drain_grace - block["hold"] <= proxy.connect_most + body_transit(body):
+            wrong(block.lines["hold"], "hold leaves no time for a drain: drain_grace less hold does not exceed connect_most and "
+                                       "transit_most together")
     zones = set(body["zones"])
     for place, block in zip(pilots, body.blocks["pilot"]):
         if place.zone and place.zone not in zones:
--- a/cedarshift/deployment/hcl.py
+++ b/cedarshift/deployment/hcl.py
@@ -97,6 +97,13 @@
     return ((got[1], int(got[2])), "") if got and fits else (None, 'an address such as "127.0.0.1:7100"')
 
 
+def addresses(raw: Any) -> tuple[Any, str]:
+    """A list of different "host:port", one at least."""
+    found = [address(one)[0] for one in raw] if isinstance(raw, list) else []
+    fits = found and None not in found and len(set(found)) == len(found)
+    return (found, "") if fits else (None, 'a list of different addresses such as ["127.0.0.1:2181"]')
+
+
 MUST = object()           # an attribute without a default
 
 
--- a/cedarshift/deployment/render.py
+++ b/cedarshift/deployment/render.py
@@ -4,7 +4,8 @@
 import dataclasses
 from typing import Any
 
-from cedarshift.deployment.deployment import (CHANNEL, LIST, OP_TYPE, PILOT, PROXY, RULES, STORE, Deployment, LearnTerms)
+from cedarshift.deployment.deployment import (CHANNEL, LIST, OP_TYPE, PILOT, PROXY, RULES, STORE, Deployment, LearnTerms,
+                                              ListSource)
 from cedarshift.deployment.hcl import Shape
 
 
@@ -21,7 +22,8 @@
         out += _block(f'pilot "{place.name}"', PILOT, place)
     if d.store is not None:
         out += _block("store", STORE, d.store)
-    for kind, shape, body in (("list", LIST, d.listed), ("channel", CHANNEL, d.channel), ("proxy", PROXY, d.proxy),
+    out += _roster(d.listed) if d.listed.nodes is not None else _block("list", LIST, d.listed)
+    for kind, shape, body in (("channel", CHANNEL, d.channel), ("proxy", PROXY, d.proxy),
                               ("rules", RULES, d.rules)):
         out += _block(kind, shape, body)
     if d.learn is not None:
@@ -29,6 +31,18 @@
     return "\n".join(out + ["}", ""])
 
 
+def _roster(listed: ListSource) -> list[str]:
+    nodes = listed.nodes
+    assert nodes is not None
+    servers = ", ".join(_literal(address) for address in nodes.servers)
+    rows = [f"    servers = [{servers}]", f'    session_timeout = "{nodes.session_timeout}us"', f'    hold = "{nodes.hold}us"',
+            f"    gone_binds = {_literal(listed.gone_binds)}"]
+    more = {"path": nodes.path, "format": nodes.format, "port_name": nodes.port_name, "watch": nodes.watch,
+            "read_only": nodes.read_only, "auth": nodes.auth_file, "saved": listed.saved}
+    rows += [f"    {name} = {_literal(value)}" for name, value in more.items() if value != ""]
+    return ['  roster "zookeeper" {', *rows, "  }"]
+
+
 def _learn(learn: LearnTerms) -> list[str]:
     rows = [f"    from = {_literal(learn.sources)}", f'    for = "{learn.span}us"', f"    lend_share = {learn.lend_share!r}",
             f"    compress = {_literal(learn.compress)}"]
--- /dev/null
+++ b/cedarshift/judge/membership.py
@@ -0,0 +1,238 @@
+"""From members' nodes to the list that the module is told. No I/O; times are whole microseconds, passed in.
+
+A node is not an endpoint: an endpoint may stand in two nodes (an old session that has not expired yet, and the new one), or
+for a moment in none (a session that expired while the process lived). What is decided here, and only here:
+
+- which node speaks for an endpoint: the newest;
+- when a vanished node is told on: at once where it drained before, or where the data plane loses ops there; else after
+  `hold`, within which it may come back as if nothing had been. The grace of the drain runs from the vanishing, so the
+  module's is shorter by `hold`;
+- whether a node that returns is another process;
+- that a pool is never emptied by vanished nodes alone while its endpoints ack: then the last ones stand, in doubt.
+"""
+from __future__ import annotations
+
+from collections import deque
+from typing import NamedTuple, Optional
+
+# Constants: unit, then the reason for the size.
+SAME_WITHIN = 10_000_000  # us of absence after which a return counts as another process, unless it acked meanwhile: a
+                          # session is made anew within seconds of its expiry, a machine is not booted so soon
+SUMS_KEPT = 8             # newest sums of an endpoint: a few periods from a handful of zones
+SUMS_FRESH = 10_000_000   # us; older sums tell nothing of now
+LOSES = 0.5               # share of ops aborted from which a vanished endpoint counts as dead: half of its ops are lost
+LOSES_LEAST = 4           # ops; fewer are chance
+
+ON, FADING, OFF = "on", "fading", "off"
+
+
+class Node(NamedTuple):
+    """A member's node. `start` as the node itself tells it, or "". `owner`: the session; `born`: the transaction."""
+    endpoint: str
+    phase: str
+    size: float
+    zone: str
+    start: str
+    owner: int
+    born: int
+
+
+class Told(NamedTuple):
+    """An entry as it is told on. `process` is another text for each process."""
+    endpoint: str
+    phase: str
+    size: float
+    zone: str
+    process: str
+
+
+class Gone(NamedTuple):
+    """An endpoint without a node: since when it was known, until when it is held, and its last entry."""
+    since: int
+    until: int
+    last: Told
+
+
+class Endpoint:
+    """What is known of one endpoint beside its nodes."""
+
+    def __init__(self) -> None:
+        self.process = ""                    # the process's name for the list
+        self.start = ""                      # what its node said of it
+        self.generation = 0
+        self.owner = 0
+        self.left_at: Optional[int] = None   # when its last node left
+        self.sums: deque[tuple[int, int, int]] = deque(maxlen=SUMS_KEPT)   # (heard at, tries, aborted)
+
+    def acks(self, since: int) -> tuple[int, int]:
+        """(tries, aborted) of the sums heard since."""
+        got = [one for one in self.sums if one[0] >= since]
+        return sum(one[1] for one in got), sum(one[2] for one in got)
+
+
+class Membership:
+    """`hold` (us): how long a vanished node may stay untold. `pools`: whether each zone is a pool of its own."""
+
+    def __init__(self, hold: int, pools: bool = False) -> None:
+        self.hold = hold
+        self.pools = pools
+        self.nodes: dict[str, Node] = {}             # by the node's name
+        self.of_endpoint: dict[str, set[str]] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        self.gone: dict[str, Gone] = {}              # held back, or in doubt
+        self.doubted: set[str] = set()               # those that stand only because their pool would be empty
+        self.told: dict[str, Told] = {}
+        self.counts = {"vanished": 0, "returned": 0, "told_gone": 0, "doubted": 0, "restarts": 0}
+
+    # ---- what is learnt
+
+    def on_nodes(self, now: int, seen: dict[str, Node], gone: set[str], whole: bool) -> None:
+        """`whole`: `seen` is everything; what it lacks is gone."""
+        if whole:
+            gone = set(self.nodes) - set(seen)
+        touched = set()
+        for name, node in sorted(seen.items(), key=lambda row: row[1].born):
+            touched |= self._placed(now, name, node)
+        for name in sorted(gone):
+            touched |= self._removed(name)
+        for endpoint in sorted(touched):
+            self._weigh(now, endpoint)
+
+    def on_sums(self, now: int, endpoint: str, tries: int, aborted: int) -> None:
+        if endpoint in self.endpoints and tries > 0:
+            self.endpoints[endpoint].sums.append((now, tries, aborted))
+
+    def _placed(self, now: int, name: str, node: Node) -> set[str]:
+        before = self.nodes.get(name)
+        touched = {node.endpoint}
+        if before is not None and before.endpoint != node.endpoint:
+            touched |= self._removed(name)
+        known = self.endpoints.setdefault(node.endpoint, Endpoint())
+        self._tell_process(now, known, node)
+        self.nodes[name] = node
+        self.of_endpoint.setdefault(node.endpoint, set()).add(name)
+        return touched
+
+    def _removed(self, name: str) -> set[str]:
+        node = self.nodes.pop(name, None)
+        if node is None:
+            return set()
+        names = self.of_endpoint[node.endpoint]
+        names.discard(name)
+        if not names:
+            del self.of_endpoint[node.endpoint]
+        return {node.endpoint}
+
+    def _tell_process(self, now: int, known: Endpoint, node: Node) -> None:
+        """Whether a node is of the process that was known. What the node says decides; then: two sessions at once are two
+        processes, and a return is the same process if it is soon or if it acked all the while."""
+        if not known.process:
+            known.process, known.start, known.owner = node.start or "0", node.start, node.owner
+            return
+        if node.owner == known.owner and node.start == known.start:
+            return
+        alive = [self.nodes[n] for n in self.of_endpoint.get(node.endpoint, ()) if self.nodes[n].owner == known.owner]
+        if node.start or known.start:
+            other = node.start != known.start
+        elif alive:
+            other = node.born > max(one.born for one in alive)
+        else:
+            other = not self._same_after_absence(now, known)
+        if other:
+            known.generation += 1
+            known.process = node.start or str(known.generation)
+            self.counts["restarts"] += 1
+        known.start, known.owner = node.start, node.owner
+
+    @staticmethod
+    def _same_after_absence(now: int, known: Endpoint) -> bool:
+        left = known.left_at if known.left_at is not None else now
+        tries, aborted = known.acks(left)
+        if tries >= LOSES_LEAST:
+            return aborted < LOSES * tries
+        return now - left <= SAME_WITHIN
+
+    def _weigh(self, now: int, endpoint: str) -> None:
+        """An endpoint's place after its nodes have changed: in force, held back or gone."""
+        entry = self._entry(endpoint)
+        if entry is not None and entry.phase != OFF:
+            if self.gone.pop(endpoint, None) is not None:
+                self.counts["returned"] += 1
+            self.doubted.discard(endpoint)
+            self.endpoints[endpoint].left_at = None
+            return
+        last = self.told.get(endpoint)
+        if last is None or last.phase == OFF or endpoint in self.gone:
+            return
+        self.counts["vanished"] += 1
+        known = self.endpoints[endpoint]
+        known.left_at = now
+        # A node that says of itself that it is off, or that drained before, leaves no doubt.
+        held = self.hold if entry is None and last.phase == ON else 0
+        self.gone[endpoint] = Gone(now, now + held, last)
+
+    def _entry(self, endpoint: str) -> Optional[Told]:
+        """By the newest of its nodes."""
+        names = self.of_endpoint.get(endpoint)
+        if not names:
+            return None
+        node = max((self.nodes[name] for name in names), key=lambda one: one.born)
+        return Told(endpoint, node.phase, node.size, node.zone, self.endpoints[endpoint].process)
+
+    # ---- what is told
+
+    def due(self) -> Optional[int]:
+        """When to look again: the end of the next hold; those in doubt are looked at with each sum."""
+        return min((one.until for name, one in self.gone.items() if name not in self.doubted), default=None)
+
+    def take(self, now: int) -> list[Told]:
+        """What has changed since the last call, for the module's list."""
+        listed = {endpoint: entry for endpoint in self.of_endpoint if (entry := self._entry(endpoint)) is not None}
+        for endpoint, one in sorted(self.gone.items()):
+            held = endpoint not in self.doubted and now < one.until and not self._loses(now, endpoint, one)
+            if held:
+                listed[endpoint] = one.last
+        for endpoint in self._stand_in_doubt(now, listed):
+            listed[endpoint] = self.gone[endpoint].last
+        for endpoint in [name for name in sorted(self.gone) if name not in listed or listed[name].phase == OFF]:
+            del self.gone[endpoint]
+            self.doubted.discard(endpoint)
+            self.counts["told_gone"] += 1
+        changed = [entry for endpoint, entry in sorted(listed.items()) if self.told.get(endpoint) != entry
+                   and (entry.phase != OFF or endpoint in self.told)]
+        left = [entry._replace(phase=OFF) for endpoint, entry in sorted(self.told.items())
+                if endpoint not in listed and entry.phase != OFF]
+        for entry in changed + left:
+            self.told[entry.endpoint] = entry
+        return changed + left
+
+    def _loses(self, now: int, endpoint: str, one: Gone) -> bool:
+        tries, aborted = self.endpoints[endpoint].acks(max(one.since, now - SUMS_FRESH))
+        return tries >= LOSES_LEAST and aborted >= LOSES * tries
+
+    def _pool(self, entry: Told) -> str:
+        return entry.zone if self.pools else ""
+
+    def _stand_in_doubt(self, now: int, listed: dict[str, Told]) -> list[str]:
+        """The vanished endpoints of pools that would be empty without them, as long as the data plane acks there. One that
+        drained is never among them: that it leaves was its own word."""
+        full = {self._pool(entry) for entry in listed.values() if entry.phase == ON}
+        found = []
+        for endpoint, one in sorted(self.gone.items()):
+            stands = endpoint not in listed and one.last.phase == ON and self._pool(one.last) not in full and self._acks(
+                now, endpoint, one)
+            if stands:
+                found.append(endpoint)
+        self.counts["doubted"] += len(set(found) - self.doubted)
+        self.doubted = set(found)
+        return found
+
+    def _acks(self, now: int, endpoint: str, one: Gone) -> bool:
+        """Heard acking lately; until the first sums from after the vanishing can be here, those of before count."""
+        tries, aborted = self.endpoints[endpoint].acks(max(one.since, now - SUMS_FRESH))
+        if not tries:
+            tries, aborted = self.endpoints[endpoint].acks(now - SUMS_FRESH)
+        return tries > 0 and aborted < LOSES * tries
+
+
+__all__ = ["Membership", "Node", "Told"]
--- a/cedarshift/pilot/admin.py
+++ b/cedarshift/pilot/admin.py
@@ -10,6 +10,7 @@
 
 from cedarshift.loop.core import Coroutine
 from cedarshift.pilot.service import PilotService
+from cedarshift.roster import EphemeralSource
 from cedarshift.web import Answer, Asked
 
 
@@ -31,6 +32,7 @@
             "channel_breaches": s.channel.breaches, "intake_lines_waiting": s.intake.lines_waiting(),
             "in_charge": float(s.in_charge()),
             "endpoints_warned_of": s.learning.warned if s.learning else 0,
+            **_of_source(s),
             "slowest_step_seconds": s.loop.slowest / 1e6,
             "in_force_seconds_p50": acks[len(acks) // 2] / 1e6 if acks else 0.0,
             "in_force_seconds_p99": acks[len(acks) * 99 // 100] / 1e6 if acks else 0.0,
@@ -41,6 +43,21 @@
             yield GaugeMetricFamily(f"cedarshift_{name}", name.replace("_", " "), value=value)
 
 
+def _of_source(service: PilotService) -> dict[str, float]:
+    """What an alarm is set on: how old the list may be, and how many members stand although their nodes have gone."""
+    source, now = service.source, service.loop.now()
+    found = {"list_age_seconds": -1.0 if source.confirmed is None else (now - source.confirmed) / 1e6}
+    if isinstance(source, EphemeralSource):
+        found["source_connected"] = float(source.client.state == "connected")
+        found["members"] = float(len(source.judge.nodes))
+        found["members_vanished"] = float(len(source.judge.gone))
+        found["members_in_doubt"] = float(len(source.judge.doubted))
+        found["nodes_refused"] = float(len(source.refused))
+        found.update({f"source_{name}": float(count) for name, count in source.client.counts.items()})
+        found.update({f"members_{name}_ever": float(count) for name, count in source.judge.counts.items()})
+    return found
+
+
 def admin_page(service: PilotService) -> Callable[[Asked], Coroutine]:
     registry = CollectorRegistry()
     registry.register(Figures(service))  # type: ignore[arg-type]
@@ -56,5 +73,7 @@
         if asked.target == "/facts":
             facts = service.learning.shown() if service.learning is not None else {}
             return Answer(200, msgspec.json.encode(facts), (("content-type", "application/json"),))
-        return Answer(404, b"/health, /metrics, /tables and /facts are served\n")
+        if asked.target == "/members":
+            return Answer(200, msgspec.json.encode(service.members()), (("content-type", "application/json"),))
+        return Answer(404, b"/health, /metrics, /tables, /facts and /members are served\n")
     return answer
--- a/cedarshift/pilot/service.py
+++ b/cedarshift/pilot/service.py
@@ -6,6 +6,7 @@
 """
 from __future__ import annotations
 
+import random
 from collections import deque
 from typing import Any, Callable, Iterable, Optional, Union
 
@@ -16,6 +17,7 @@
 from cedarshift.codec import messages as m
 from cedarshift.codec.frames import encode, encode_order, pack_rows
 from cedarshift.deployment import Deployment
+from cedarshift.deployment.deployment import NodeRoster
 from cedarshift.interface import Entry
 from cedarshift.judge.trust import Own, Word
 from cedarshift.link import Link, serve
@@ -27,7 +29,7 @@
 from cedarshift.pilot.lending import Lending
 from cedarshift.pilot.store_client import StoreClient
 from cedarshift.pilot.terms import UNIT, down, terms, up
-from cedarshift.roster import FileSource, ServiceSource
+from cedarshift.roster import EphemeralSource, EphemeralTerms, FileSource, ServiceSource
 from cedarshift.roster.sources import SavedList
 
 BEATS_A_LEASE = 4             # beats in a lease, so that three may be lost
@@ -36,6 +38,11 @@
 JOURNAL_KEPT = 200            # latest decisions, for `cedarshift tables`
 
 
+def ephemeral_terms(nodes: NodeRoster) -> EphemeralTerms:
+    return EphemeralTerms(nodes.servers, nodes.path, nodes.session_timeout, nodes.format, nodes.port_name,
+                          nodes.watch == "recursive", nodes.read_only, nodes.hold, nodes.auth)
+
+
 class ProxySession:
     """One joined proxy. `number` is its number for the module, the same whenever the same id joins."""
 
@@ -78,6 +85,7 @@
         self.challenge = challenge
         number = [p.name for p in deployment.pilots].index(name)
         self.brain = Pilot(terms(deployment, number, seed))
+        self.chance = random.Random(seed)
         self.badge = Badge(deployment.name, "pilot", name, self.place.zone, deployment.secret)
         channel = deployment.channel
         self.channel: PacedChannel = PacedChannel(channel.lines_per_s, channel.lines_waiting_most,
@@ -113,8 +121,12 @@
                       loop.spawn(serve(loop, listener, self._session, self._talk, report), "accept")]
         self._wake_up(0, 0)
 
-    def _source(self, deployment: Deployment) -> Union[FileSource, ServiceSource]:
+    def _source(self, deployment: Deployment) -> Union[FileSource, ServiceSource, EphemeralSource]:
         listed = deployment.listed
+        if listed.nodes is not None:
+            pools = any(op.own_zone for op in deployment.op_types)
+            return EphemeralSource(self.loop, ephemeral_terms(listed.nodes), pools, self.chance.random,
+                                   SavedList(deployment.beside(listed.saved)), self.on_list, self.report)
         if listed.service is not None:
             saved = SavedList(deployment.beside(listed.saved))
             return ServiceSource(self.loop, listed.service, self.name, listed.asks, saved, self.on_list, self.report)
@@ -365,6 +377,7 @@
         now, at = self._now(), self.loop.now()
         for met in mets:
             self.brain.on_met(now, met.endpoint, met.zone, met.tries, met.aborted, up(met.took), up(met.span))
+            self.source.on_sums(met.endpoint, met.tries, met.aborted)
             if self.lending is not None:
                 self.lending.heard_sum(at, met)
         for heat in heats:
@@ -555,6 +568,13 @@
                 "warmth": self.brain._warmth(known, self._now()),
                 "sick_s": max(0, known.sick_until - self._now()) / 10_000}
 
+    def members(self) -> dict[str, Any]:
+        """What its source of the list shows, and what stands in the list, for `cedarshift members`."""
+        listed = [{"endpoint": e.endpoint, "phase": e.phase, "size": e.size, "zone": e.zone,
+                   "start_s": None if not e.started else (self._now() - e.started) / 10_000}
+                  for _, e in sorted(self.listed.items())]
+        return {"pilot": self.name, **self.source.shown(), "listed": listed}
+
     def shown(self) -> dict[str, Any]:
         """What the pilot holds, for `cedarshift tables`."""
         return {
--- a/cedarshift/roster/sources.py
+++ b/cedarshift/roster/sources.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 import os
-from typing import Callable, Optional
+from typing import Any, Callable, Optional, Union
 
 from cedarshift.interface import Entry
 from cedarshift.loop import Loop, StreamBroken, TimedOut
@@ -49,6 +49,12 @@
         return parse_list(read_file(self.path), self.path)
 
 
+def _shown(source: Union[FileSource, ServiceSource]) -> dict[str, Any]:
+    """For `cedarshift members`: what is known of the source itself; its entries are the pilot's."""
+    age = None if source.confirmed is None else (source.loop.now() - source.confirmed) / 1e6
+    return {"source": source.name, "rev": source.rev, "heard_s": age}
+
+
 class FileSource:
     """A JSON file, looked at every `refresh` us; a change is seen by its time, size and inode."""
 
@@ -68,6 +74,12 @@
     def ask(self) -> None:
         """The file is looked at anyway."""
 
+    def on_sums(self, endpoint: str, tries: int, aborted: int) -> None:
+        """A file's word stands, whatever the data plane meets."""
+
+    def shown(self) -> dict[str, Any]:
+        return _shown(self)
+
     def stop(self) -> None:
         self.task.cancel()
 
@@ -115,6 +127,12 @@
         self.wanted = not asks
         self.task: Task = loop.spawn(self._follow(), "list service")
 
+    def on_sums(self, endpoint: str, tries: int, aborted: int) -> None:
+        """The service's word stands, whatever the data plane meets."""
+
+    def shown(self) -> dict[str, Any]:
+        return _shown(self)
+
     def ask(self) -> None:
         if not self.wanted:
             self.wanted = True
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -71,3 +71,38 @@
     (tmp_path / "day.hcl").write_text(day)
     with pytest.raises(FileRefused, match=said):
         load_day(str(tmp_path / "day.hcl"))
+
+
+ROSTER = """roster "zookeeper" {
+    servers = ["127.0.0.1:2181", "127.0.0.1:2182"]
+    path = "/svc/tiles"
+    auth = "zk-auth"
+  }"""
+LIST = """list {
+    file = "lone-endpoints.json"
+  }"""
+
+
+@pytest.mark.parametrize("old, new, line, said", [
+    ('"127.0.0.1:2182"', '"127.0.0.1:2181"', 33, "different addresses"), ('["127.0.0.1:2181", "127.0.0.1:2182"]', "[]", 33, "servers = []"),
+    ('"/svc/tiles"', '"svc"', 34, "does not begin with /"), ('"/svc/tiles"', '"/"', 34, "the root"), ('"zookeeper"', '"consul"', 32, "known: \"zookeeper\""),
+    ('path =', 'format = "xml"\n    path =', 34, '"serverset", "curator", "plain"'), ('path =', 'hold = "4s"\n    path =', 34, "leaves no time"),
+    ('path =', 'port_name = "x"\n    format = "plain"\n    path =', 34, "no meaning"), ('"zk-auth"', '"nowhere"', 35, "No such file"),
+    ('"zk-auth"', '"zk-bad"', 35, "zk-bad:3: \"digest user:password\""), ("  roster", "  list {\n    file = \"x\"\n  }\n  roster", 2, "2 blocks list and roster")])
+def test_every_error_of_a_roster_has_its_line(tmp_path, old, new, line, said):
+    (tmp_path / "zk-auth").write_text("digest p0:secret\n")
+    (tmp_path / "zk-bad").write_text("digest p0:secret\n\nsasl x\n")
+    text = GOOD.replace(LIST, ROSTER)
+    assert old in text and text != GOOD
+    problems = refused(tmp_path, text.replace(old, new, 1))
+    assert any(p.startswith(f":{line}: ") and said in p for p in problems), problems
+
+
+def test_a_roster_is_read_with_its_credentials_and_rendered_as_the_same(tmp_path):
+    (tmp_path / "zk-auth").write_text("digest p0:secret\n")
+    (tmp_path / "f.hcl").write_text(GOOD.replace(LIST, ROSTER))
+    before = load(str(tmp_path / "f.hcl"))
+    nodes = before.listed.nodes
+    assert nodes.auth == (("digest", b"p0:secret"),) and nodes.servers[1] == ("127.0.0.1", 2182) and nodes.hold == 1_000_000
+    (tmp_path / "out.hcl").write_text(render(before))
+    assert changes(before, load(str(tmp_path / "out.hcl"))) == ([], [])
--- /dev/null
+++ b/tests/test_zookeeper.py
@@ -0,0 +1,636 @@
+"""The ZooKeeper codec by known bytes and by garbage; the client, the follower and the registration against the stand-in."""
+import struct
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cedarshift.codec.zookeeper import Broken, Code, ZooError
+from cedarshift.codec.zookeeper import records as r
+from cedarshift.codec.zookeeper.jute import Frames, Reader, check_path, decode, encode
+from cedarshift.codec.zookeeper.session import EXPIRED, ClientSession, Reply, ServerSession
+from cedarshift.loop import listen
+from cedarshift.roster import members as members_module
+from cedarshift.roster.formats import Member, NodeRefused, read_member, write_member
+from cedarshift.roster.zookeeper import ZooClient
+from program import SECOND, virtual_loop
+from zoo import PATH, PLACES, Zoo
+
+STAT = r.Stat(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)
+OPEN_ACL = [r.Acl(31, r.Id("world", "anyone"))]
+# By hand from zookeeper.jute: (record, its bytes in hex).
+VECTORS = [
+    (r.ConnectRequest(0, 0, 6000, 0, b"\0" * 16), "00000000" "0000000000000000" "00001770" "0000000000000000" "00000010" + "00" * 16),
+    (r.RequestHead(1, r.GET_CHILDREN2), "000000010000000c"),
+    (r.Watched("/a", True), "00000002" "2f61" "01"),
+    (r.Create("/a", b"x", OPEN_ACL, r.EPHEMERAL), "00000002" "2f61" "00000001" "78" "00000001" "0000001f" "00000005"
+     "776f726c64" "00000006" "616e796f6e65" "00000001"),
+    (r.Delete("/a", -1), "00000002" "2f61" "ffffffff"),
+    (r.ReplyHead(1, 0x100000002, -101), "00000001" "0000000100000002" "ffffff9b"),
+    (r.WatchEvent(r.DELETED, r.CONNECTED, "/a"), "00000002" "00000003" "00000002" "2f61"),
+    (r.AddWatch("/a", r.WATCH_RECURSIVE), "00000002" "2f61" "00000001"),
+    (r.SetData("/a", None, 0), "00000002" "2f61" "ffffffff" "00000000"),
+    (STAT, "0000000000000001" "0000000000000002" "0000000000000003" "0000000000000004" "00000005" "00000006" "00000007"
+     "0000000000000008" "00000009" "0000000a" "000000000000000b")]
+
+
+@pytest.mark.parametrize("record, raw", VECTORS)
+def test_records_are_the_specifications_bytes(record, raw):
+    assert encode(record).hex() == raw and decode(bytes.fromhex(raw), type(record)) == record
+
+
+@pytest.mark.parametrize("kind, raw", [
+    (r.Watched, "ffffff9c" "2f61" "01"), (r.Watched, "7fffffff" "2f61" "01"), (r.Watched, "00000002" "2f61" "02"),
+    (r.Watched, "00000002" "2f61" "01" "00"), (r.Watched, "00000002" "fffe" "01"), (r.ChildrenReply, "7fffffff"),
+    (r.ChildrenReply, "fffffffe"), (r.DataReply, "f0000000"), (r.Watched, "00000002" "2f"), (r.Stat, "00" * 67),
+    (r.Watched, "00001001" + "61" * 4097 + "01")])
+def test_garbage_is_refused_without_being_kept(kind, raw):
+    with pytest.raises(Broken):
+        decode(bytes.fromhex(raw), kind)
+
+
+@pytest.mark.parametrize("head", ["ffffffff", "7fffffff", "00400001"])
+def test_a_frame_of_a_negative_or_a_huge_length_is_refused_at_its_head(head):
+    with pytest.raises(Broken):
+        Frames().feed(bytes.fromhex(head))
+
+
+@given(st.lists(st.binary(max_size=40), max_size=8), st.lists(st.integers(0, 200), max_size=8))
+def test_frames_are_the_same_however_the_stream_is_cut(payloads, cuts):
+    raw = b"".join(struct.pack(">i", len(p)) + p for p in payloads)
+    places = sorted({0, len(raw), *(c for c in cuts if c < len(raw))})
+    frames, got = Frames(), []
+    for a, b in zip(places, places[1:]):
+        got += frames.feed(raw[a:b])
+    assert got == payloads
+
+
+@given(st.binary(max_size=200))
+def test_random_bytes_end_in_an_error_or_a_record_and_in_nothing_else(raw):
+    for kind in (r.ChildrenReply, r.Create, r.AclReply, r.SetWatches2):
+        try:
+            decode(raw, kind)
+        except Broken:
+            pass
+
+
+@pytest.mark.parametrize("path, wrong", [
+    ("/", ""), ("/a/b", ""), ("/é", ""), ("a", "begin"), ("/a/", "empty"), ("//", "empty"), ("/a/../b", "'..'"), ("/a/./b", "'.'"),
+    ("/a\0", "character"), ("/" + "x" * 5000, "longer"), ("/a" * 70, "deeper")])
+def test_paths(path, wrong):
+    assert (wrong in check_path(path)) if wrong else check_path(path) == ""
+
+
+def opened(last_zxid=0):
+    """A client's and a server's session, greeted."""
+    client, server = ClientSession(4000, last_zxid=last_zxid), ServerSession()
+    server.feed(client.hello())
+    client.feed(server.welcome(4000, 7, b"p" * 16))
+    return client, server
+
+
+@pytest.mark.parametrize("op, body, answer", [
+    (r.CREATE2, r.Create("/a", b"", OPEN_ACL, 0), r.Created2("/a", STAT)), (r.DELETE, r.Delete("/a", -1), None),
+    (r.GET_DATA, r.Watched("/a", True), r.DataReply(b"x", STAT)), (r.GET_CHILDREN, r.Watched("/", False), r.ChildrenReply(["a", "b"])),
+    (r.GET_ACL, r.OfPath("/a"), r.AclReply(OPEN_ACL, STAT)), (r.SET_ACL, r.SetAcl("/a", OPEN_ACL, -1), r.StatReply(STAT)),
+    (r.SYNC, r.OfPath("/a"), r.OfPath("/a")), (r.SET_WATCHES, r.SetWatches(3, ["/a"], [], ["/"]), None),
+    (r.SET_WATCHES2, r.SetWatches2(3, ["/a"], [], [], ["/p"], ["/r"]), None), (r.AUTH, r.Auth(0, "digest", b"u:p"), None),
+    (r.ADD_WATCH, r.AddWatch("/a", 1), r.ErrorReply(0)), (r.CLOSE, None, None), (r.REMOVE_WATCHES, r.RemoveWatches("/a", 3), None),
+    (r.MULTI, r.Multi([(r.CHECK, r.Check("/a", 1)), (r.CREATE, r.Create("/b", b"", OPEN_ACL, 0))]),
+     r.MultiReply([(r.CHECK, None, 0), (r.CREATE, r.Created("/b"), 0)])),
+    (r.MULTI, r.Multi([(r.DELETE, r.Delete("/a", 1)), (r.SET_DATA, r.SetData("/b", b"", 0))]),
+     r.MultiReply([(r.ERROR, None, 0), (r.ERROR, None, -101)]))])
+def test_each_operation_goes_there_and_back(op, body, answer):
+    client, server = opened()
+    xid, raw = client.request(op, body)
+    request, = server.feed(raw)
+    assert (request.xid, request.op, request.body) == (xid, op, body)
+    reply, = client.feed(server.reply(xid, 9, 0, answer))
+    assert reply == Reply(xid, op, 9, 0, answer) and client.last_zxid == 9
+
+
+def test_an_expired_session_is_told_by_session_nought():
+    client, server = ClientSession(4000, session=9), ServerSession()
+    server.feed(client.hello())
+    client.feed(server.welcome(0, 0, b"\0" * 16))
+    assert client.state == EXPIRED
+
+
+@pytest.mark.parametrize("frames, said", [
+    (lambda s: s.reply(5, 9, 0, r.Created("/a")), "xid 5"), (lambda s: s.reply(r.XID_PING, 9, 0), "ping"),
+    (lambda s: s.event(r.WatchEvent(r.DELETED, 3, "/b")), "never watched"), (lambda s: s.reply(1, 2, 0, r.StatReply(STAT)), "runs back"),
+    (lambda s: s.reply(1, 9, 0, r.StatReply(STAT)) + s.reply(1, 9, 0, r.StatReply(STAT)), "awaited is none"),
+    (lambda s: s.reply(1, 9, 0, r.Created("/a")), "stated"), (lambda s: b"\xff\xff\xff\xf0", "frame of")])
+def test_a_server_that_breaks_the_order_of_things_is_left(frames, said):
+    client, server = opened(last_zxid=5)
+    client.request(r.EXISTS, r.Watched("/a", True))
+    with pytest.raises(Broken, match=said):
+        client.feed(frames(server))
+
+
+def test_an_operation_that_is_unknown_is_answered_and_an_endless_multi_refused():
+    client, server = opened()
+    got, = server.feed(struct.pack(">iii", 8, 1, 16))
+    assert got.problem == Code.UNIMPLEMENTED
+    with pytest.raises(Broken):
+        server.feed(client.request(r.MULTI, r.Multi([(r.CHECK, r.Check("/a", 1))] * 1001))[1])
+
+
+# ---- forms of nodes
+
+@pytest.mark.parametrize("form", ["serverset", "curator", "plain"])
+@pytest.mark.parametrize("phase", ["on", "fading"])
+def test_a_member_is_read_as_it_was_written(form, phase):
+    member = Member("host:80", phase, 2.5, "north", "boot-7")
+    assert read_member(write_member(member, form, "tiles"), form) == member
+
+
+@pytest.mark.parametrize("form, raw, wanted", [
+    ("serverset", '{"serviceEndpoint":{"host":"a","port":1},"additionalEndpoints":{},"status":"ALIVE","shard":3}',
+     Member("a:1", "on", 1.0, "", "")),
+    ("serverset", '{"serviceEndpoint":{"host":"a","port":1},"status":"STOPPING"}', Member("a:1", "fading", 1.0, "", "")),
+    ("serverset", '{"serviceEndpoint":{"host":"a","port":1},"status":"STARTING"}', Member("a:1", "off", 1.0, "", "")),
+    ("curator", '{"name":"t","id":"x","address":"a","port":1,"sslPort":null,"payload":null,"registrationTimeUTC":5}',
+     Member("a:1", "on", 1.0, "", "")),
+    ("curator", '{"name":"t","address":"a","port":null,"sslPort":443,"enabled":false,"payload":{"weight":"3"}}',
+     Member("a:443", "fading", 3.0, "", "")),
+    ("plain", '{"endpoint":"e","size":2,"start":4}', Member("e", "on", 2.0, "", "4"))])
+def test_the_forms_that_installations_use(form, raw, wanted):
+    assert read_member(raw.encode(), form) == wanted
+
+
+def test_an_additional_endpoint_may_be_meant():
+    raw = b'{"serviceEndpoint":{"host":"a","port":1},"additionalEndpoints":{"admin":{"host":"a","port":9}}}'
+    assert read_member(raw, "serverset", "admin").endpoint == "a:9"
+    with pytest.raises(NodeRefused, match="additionalEndpoints"):
+        read_member(raw, "serverset", "thrift")
+
+
+@pytest.mark.parametrize("form, raw, said", [
+    ("plain", b"", "nothing"), ("plain", None, "nothing"), ("plain", b"[1]", "list"), ("plain", b"{", "JSON"), ("plain", b"{}", "endpoint"),
+    ("plain", b"\xff\xfe", "JSON"), ("plain", b'{"endpoint":"e","size":0}', "above 0"), ("plain", b'{"endpoint":"e","phase":"up"}', "phase"),
+    ("serverset", b'{"serviceEndpoint":{"host":"a","port":70000}}', "70000"), ("serverset", b"{}", "missing"),
+    ("serverset", b'{"serviceEndpoint":{"host":"a","port":1},"status":"ODD"}', "ODD"), ("plain", b" " * 70_000, "70000 bytes"),
+    ("curator", b'{"address":"a","port":1,"enabled":"yes"}', "enabled"), ("curator", b'{"address":"a","port":1,"payload":[]}', "payload")])
+def test_a_broken_node_is_refused_with_the_reason(form, raw, said):
+    with pytest.raises(NodeRefused, match=said):
+        read_member(raw, form)
+
+
+# ---- the source against the ensemble
+
+WATCHES = pytest.mark.parametrize("recursive", [True, False])
+FORMS = pytest.mark.parametrize("form", ["serverset", "curator", "plain"])
+
+
+@WATCHES
+@FORMS
+def test_members_come_drain_and_leave(recursive, form):
+    zoo = Zoo(form, recursive, members=3)
+    assert zoo.on() == ["h:9000", "h:9001", "h:9002"] and zoo.source.confirmed is not None
+    zoo.members["h:9000"].drain()
+    zoo.run(0.2)
+    assert zoo.listed["h:9000"].phase == "fading"
+    zoo.loop.spawn(zoo.members["h:9000"].leave(), "leave")
+    zoo.run(0.2)
+    assert zoo.listed["h:9000"].phase == "off"       # it drained: nothing is held back
+    zoo.member("h:9009")
+    zoo.run(1)
+    assert zoo.on() == ["h:9001", "h:9002", "h:9009"]
+
+
+@WATCHES
+@pytest.mark.parametrize("count", [1, 30, 300])
+def test_sessions_that_expire_and_come_back_within_a_second_change_nothing(recursive, count):
+    zoo = Zoo(recursive=recursive, members=count, hold=3 * SECOND)
+    before = dict(zoo.listed)
+    zoo.told.clear()
+    zoo.expire(*zoo.members)
+    zoo.run(8)
+    assert zoo.told == [] and zoo.listed == before and len(zoo.on()) == count
+    assert zoo.source.judge.counts["returned"] == count and zoo.source.judge.counts["restarts"] == 0
+
+
+@WATCHES
+def test_a_killed_member_is_told_gone_a_hold_after_its_node_has_left(recursive):
+    zoo = Zoo(recursive=recursive, members=2)
+    zoo.members["h:9000"].stop()
+    zoo.run(1.2)
+    assert zoo.on() == ["h:9000", "h:9001"] and not zoo.source.judge.gone      # its session lives
+    zoo.run(0.9)
+    vanished = zoo.source.judge.gone["h:9000"].since
+    zoo.run(2)
+    assert zoo.on() == ["h:9001"]
+    at = next(at for at, name, phase in zoo.told if name == "h:9000" and phase == "off")
+    assert 0 <= at - vanished - SECOND < 10_000
+
+
+@WATCHES
+@pytest.mark.parametrize("between", [0, 1_000, 20_000])
+def test_a_node_that_is_made_anew_between_the_event_and_the_reading(recursive, between):
+    """The classic lost update: deleted and there again before the reader has asked."""
+    zoo = Zoo(recursive=recursive, members=2, delay=5_000)
+    path, data = f"{PATH}/x", write_member(Member("x:1", "on", 1.0, "z", "1"), "plain")
+    zoo.ensemble.commit([("create", path, data, OPEN_ACL, 0)])
+    zoo.run(1)
+    zoo.told.clear()
+    zoo.ensemble.commit([("delete", path)])
+    zoo.run(between / SECOND)
+    newer = data.replace(b'"start":"1"', b'"start":"2"')
+    zoo.ensemble.commit([("create", path, newer, OPEN_ACL, 0)])
+    zoo.run(3)
+    assert "x:1" in zoo.on() and zoo.phases("x:1") == ["on"]         # told once: another process, never gone
+    assert zoo.source.judge.nodes["x"].start == "2" and not zoo.source.judge.gone
+
+
+@WATCHES
+def test_a_session_goes_on_at_another_server_without_a_lost_or_a_doubled_event(recursive):
+    zoo = Zoo(recursive=recursive, members=5)
+    session = zoo.source.client.session
+    zoo.told.clear()
+    zoo.ensemble.control({"drop": [0, 1, 2]})
+    zoo.ensemble.commit([("delete", f"{PATH}/h:9001")])
+    zoo.run(0.01)
+    zoo.members["h:9002"].drain()
+    zoo.run(4)
+    assert zoo.source.client.session == session and zoo.source.client.counts["expiries"] == 0
+    assert zoo.on() == ["h:9000", "h:9001", "h:9003", "h:9004"]      # the deleted one was made again by its member
+    assert [phase for _, _, phase in zoo.told].count("off") <= 1
+
+
+@WATCHES
+def test_an_expired_reader_reads_all_anew_and_the_list_stands_meanwhile(recursive):
+    zoo = Zoo(recursive=recursive, members=4)
+    zoo.told.clear()
+    zoo.ensemble.control({"cut": [0, 1, 2]})
+    zoo.source.client.read_only = False
+    zoo.run(6)                                       # everybody's session has expired by now
+    assert zoo.on() == ["h:9000", "h:9001", "h:9002", "h:9003"] and zoo.source.client.state == "disconnected"
+    assert zoo.loop.now() - zoo.source.confirmed > 5 * SECOND
+    zoo.members["h:9003"].stop()
+    zoo.ensemble.control({"heal": [0, 1, 2]})
+    zoo.run(8)
+    assert zoo.source.client.counts["expiries"] == 1 and zoo.on() == ["h:9000", "h:9001", "h:9002"]
+    assert zoo.phases("h:9003") == ["off"] and zoo.source.follower.recursive == recursive
+
+
+def test_a_server_that_is_cut_off_is_read_and_left_when_one_that_writes_is_found():
+    zoo = Zoo(members=2)
+    zoo.ensemble.control({"cut": [0, 1, 2]})
+    zoo.run(1)
+    assert zoo.source.client.state == "read-only"
+    confirmed = zoo.source.confirmed
+    zoo.run(1)
+    assert zoo.source.confirmed == confirmed         # it tells nothing of what happens now
+    other = [n for n, place in enumerate(PLACES) if place != zoo.source.client.server]
+    for server in other:
+        zoo.ensemble.servers[server].cut = False
+    zoo.run(6)
+    assert zoo.source.client.state == "connected" and zoo.source.confirmed > confirmed
+
+
+def test_an_older_server_is_refused_by_its_zxid_and_an_ensemble_that_went_back_is_begun_anew():
+    zoo = Zoo(members=2)
+    zoo.ensemble.servers[1].lag = zoo.ensemble.servers[2].lag = 20 * SECOND
+    zoo.member("h:9005")
+    zoo.run(1)
+    zoo.ensemble.control({"drop": [0]})
+    zoo.run(2)
+    assert zoo.source.client.server == PLACES[0] and "h:9005" in zoo.on()
+    zoo.ensemble.control({"reset": True})
+    zoo.run(12)
+    assert zoo.reports("source_went_back") and zoo.source.client.state == "connected"
+    assert set(zoo.on()) == {"h:9000", "h:9001", "h:9005"}
+
+
+def test_a_follower_that_lags_tells_late_and_then_right():
+    zoo = Zoo(members=2)
+    number = PLACES.index(zoo.source.client.server)
+    zoo.ensemble.servers[number].lag = 20 * SECOND
+    zoo.member("h:9007")
+    zoo.run(10)
+    assert "h:9007" not in zoo.on()
+    zoo.run(12)
+    assert "h:9007" in zoo.on()
+
+
+def test_thirty_vanish_during_a_deploy_while_ten_of_them_drain():
+    zoo = Zoo(members=40, hold=SECOND)
+    names = sorted(zoo.members)
+    for name in names[:10]:
+        zoo.members[name].drain()
+    zoo.run(0.5)
+    zoo.told.clear()
+    for n in range(30):
+        zoo.member(f"s:{n}", start="cold")
+    zoo.expire(*names[:30])
+    for name in names[:30]:
+        zoo.members[name].stop()
+    zoo.run(0.4)
+    off = {name for _, name, phase in zoo.told if phase == "off"}
+    assert off == set(names[:10])                    # those that drained; the others are held back
+    zoo.run(2)
+    assert {name for _, name, phase in zoo.told if phase == "off"} == set(names[:30])
+    assert zoo.on() == sorted(names[30:] + [f"s:{n}" for n in range(30)])
+    assert all(zoo.listed[f"s:{n}"].started is not None for n in range(30))
+
+
+def test_the_whole_ensembles_restart_empties_no_pool_that_acks():
+    zoo = Zoo(members=3)
+    for name in zoo.members:
+        for _ in range(3):
+            zoo.source.on_sums(name, 20, 0)
+    zoo.ensemble.control({"expire": "all"})
+    for member in zoo.members.values():
+        member.stop()
+    zoo.run(3)
+    assert zoo.on() == sorted(zoo.members) and zoo.source.shown()["vanished"][0]["in_doubt"]
+    zoo.source.on_sums("h:9000", 20, 20)             # the data plane loses ops there: it is dead
+    assert zoo.on() == ["h:9001", "h:9002"]
+    zoo.member("n:1")
+    zoo.run(1)
+    assert zoo.on() == ["n:1"]                       # another is there: the grace binds
+
+
+def test_a_herd_of_300_is_read_with_bounded_calls_in_flight(monkeypatch):
+    zoo = Zoo(delay=2_000)
+    most = []
+    real = members_module.Follower._read_dirty
+
+    def watched(self):
+        task = real(self)
+        value = None
+        while True:
+            try:
+                value = task.send(value)
+            except StopIteration:
+                return
+            most.append(len(zoo.source.client.calls))
+            yield value
+    monkeypatch.setattr(members_module.Follower, "_read_dirty", watched)
+    for n in range(300):
+        zoo.member(f"h:{n}")
+    zoo.run(3)
+    assert len(zoo.on()) == 300 and 0 < max(most) <= members_module.IN_FLIGHT + 2
+
+
+def test_one_broken_node_is_named_and_leaves_the_others_in_force():
+    zoo = Zoo(members=2)
+    zoo.ensemble.commit([("create", f"{PATH}/odd", b"{", OPEN_ACL, 0)])
+    zoo.run(0.5)
+    assert zoo.on() == ["h:9000", "h:9001"] and "odd" in zoo.reports("node_refused")[0]["node"]
+    zoo.ensemble.commit([("set", f"{PATH}/h:9000", b"[]")])          # and one that was sound keeps what it said last
+    zoo.run(0.5)
+    assert zoo.on() == ["h:9000", "h:9001"] and set(zoo.source.refused) == {"odd", "h:9000"}
+
+
+def test_a_denied_path_is_a_plain_message_and_is_read_once_it_is_allowed():
+    zoo = Zoo(members=1)
+    guarded = [r.Acl(31, r.Id("digest", "other:hash"))]
+    zoo.ensemble.commit([("acl", PATH, guarded)])
+    zoo.source.stop()
+    zoo.source = zoo.reader(2)
+    zoo.listed.clear()
+    zoo.run(2)
+    assert "ACL denies" in zoo.source.shown()["denied"] and zoo.on() == []
+    zoo.ensemble.commit([("acl", PATH, OPEN_ACL)])
+    zoo.run(10)
+    assert zoo.on() == ["h:9000"] and zoo.source.shown()["denied"] == ""
+
+
+@pytest.mark.parametrize("credential, state", [(b"p0:secret", "connected"), (b"nonsense", "refused")])
+def test_digest_credentials(credential, state):
+    zoo = Zoo(auth=(("digest", credential),))
+    assert state in [fields["state"] for fields in zoo.reports("source_state")]
+    assert bool(zoo.reports("source_auth_refused")) == (state == "refused")
+    zoo.run(5)
+    assert zoo.source.client.counts["connects"] < 12     # no hot circle
+
+
+def test_a_guarded_member_is_changed_by_itself_alone():
+    zoo = Zoo(reader=False)
+    zoo.member("h:1", auth=(("digest", b"m:pw"),))
+    zoo.run(1)
+    heard = []
+    other = ZooClient(zoo.loop, PLACES, 2 * SECOND, lambda: 0.3, lambda state: None, lambda event: None, zoo.loop.report)
+    zoo.run(0.5)
+
+    def tries():
+        try:
+            yield from other.call(r.SET_DATA, r.SetData(f"{PATH}/h:1", b"", -1))
+        except ZooError as error:
+            heard.append(error.code)
+    zoo.loop.spawn(tries(), "tries")
+    zoo.run(0.5)
+    assert heard == [Code.NO_AUTH]
+
+
+def test_a_path_that_is_not_there_yet_is_an_empty_list_and_is_seen_when_it_is_made():
+    for recursive in (True, False):
+        zoo = Zoo(recursive=recursive)
+        assert zoo.source.whole_told and zoo.on() == []
+        zoo.member("h:1")
+        zoo.run(1)
+        assert zoo.on() == ["h:1"], recursive
+
+
+def test_servers_before_3_6_are_watched_one_by_one(monkeypatch):
+    from cedarshift.standins import ensemble
+    real = ensemble.Server._read
+
+    def older(self, connection, request):
+        if request.op == r.ADD_WATCH:
+            raise ZooError(Code.UNIMPLEMENTED)
+        return real(self, connection, request)
+    monkeypatch.setattr(ensemble.Server, "_read", older)
+    zoo = Zoo(members=2)
+    assert zoo.on() == ["h:9000", "h:9001"] and zoo.reports("source_one_shot")
+    zoo.member("h:3")
+    zoo.run(1)
+    assert "h:3" in zoo.on()
+
+
+def test_the_saved_list_serves_until_a_server_answers_and_is_then_replaced(tmp_path):
+    saved = str(tmp_path / "list.json")
+    zoo = Zoo(members=2, saved=saved)
+    zoo.source.stop()
+    zoo.ensemble.control({"cut": [0, 1, 2]})
+    zoo.read_only = False
+    zoo.listed.clear()
+    zoo.source = zoo.reader(3)
+    zoo.run(1)
+    assert zoo.on() == ["h:9000", "h:9001"] and zoo.source.confirmed is None
+    zoo.members["h:9001"].stop()
+    zoo.ensemble.control({"heal": [0, 1, 2]})
+    zoo.run(6)
+    assert zoo.on() == ["h:9000"]
+
+
+# ---- the client against servers that misbehave
+
+class Rogue:
+    """Greets, then says what it is told to."""
+
+    def __init__(self, loop, speech):
+        self.loop, self.speech, self.sessions = loop, speech, 0
+        self.listener = listen(loop, PLACES[0])
+        loop.spawn(self.serve(), "rogue")
+
+    def serve(self):
+        while True:
+            stream = yield from self.listener.accept()
+            self.sessions += 1
+            self.loop.spawn(self.talk(stream), "rogue talk")
+
+    def talk(self, stream):
+        codec = ServerSession()
+        codec.feed((yield from stream.read()))
+        stream.write(codec.welcome(2000, 7, b"p" * 16))
+        while (yield from stream.read()):
+            stream.write(self.speech(codec))
+
+
+@pytest.mark.parametrize("speech", [
+    lambda s: b"\xff\xff\xff\xff", lambda s: b"\x7f\xff\xff\xff", lambda s: s.reply(99, 1, 0), lambda s: b"",
+    lambda s: s.event(r.WatchEvent(r.DELETED, 3, "/x")), lambda s: s.reply(1, 1, 0) + b"\0\0\0\1"])
+def test_a_client_leaves_a_rogue_server_waits_and_holds_nobody_up(speech):
+    loop = virtual_loop()
+    rogue = Rogue(loop, speech)
+    failed = []
+    client = ZooClient(loop, [PLACES[0]], 2 * SECOND, lambda: 0.5, lambda state: None, lambda event: None, loop.report)
+
+    def asks():
+        while True:
+            try:
+                yield from client.call(r.EXISTS, r.Watched("/a", False))
+            except ZooError as error:
+                failed.append(error.code)
+            yield from loop.sleep(20_000)
+    loop.spawn(asks(), "asks")
+    loop.run(loop.spawn(loop.sleep(20 * SECOND), "wait"))
+    assert failed and set(failed) <= {Code.CONNECTION_LOSS, Code.SESSION_EXPIRED}
+    assert 2 <= rogue.sessions < 60 and not [e for e, _ in loop.heard if e == "task_failed"]
+
+
+def test_a_connect_to_nowhere_waits_longer_each_round_and_not_for_ever():
+    loop = virtual_loop()
+    tried = []
+    real = loop.network.dial
+    loop.network.dial = lambda address: tried.append(loop.now()) or real(address)
+    ZooClient(loop, PLACES, 2 * SECOND, lambda: 0.999, lambda state: None, lambda event: None, loop.report)
+    loop.run(loop.spawn(loop.sleep(60 * SECOND), "wait"))
+    waits = [b - a for a, b in zip(tried, tried[1:])]
+    assert 60 < len(tried) < 130 and max(waits) <= 2 * SECOND + 10_000 and max(waits[:6]) < 300_000
+
+
+# ---- registration
+
+@FORMS
+def test_a_member_is_registered_again_after_its_session_has_expired(form):
+    zoo = Zoo(form, members=1)
+    first = zoo.members["h:9000"].node
+    zoo.expire("h:9000")
+    zoo.run(4)
+    member = zoo.members["h:9000"]
+    assert member.registered and member.counts["created"] == 2 and (form == "plain" or form == "curator" or member.node != first)
+
+
+def test_a_node_that_someone_deletes_is_made_again_and_what_someone_writes_stands():
+    zoo = Zoo(members=1)
+    zoo.ensemble.commit([("delete", f"{PATH}/h:9000")])
+    zoo.run(0.5)
+    assert zoo.on() == ["h:9000"] and zoo.phases("h:9000") == ["on"]
+    zoo.ensemble.commit([("set", f"{PATH}/h:9000", b'{"endpoint":"h:9000","phase":"fading"}')])
+    zoo.run(1)
+    assert zoo.listed["h:9000"].phase == "fading"
+    zoo.ensemble.commit([("delete", f"{PATH}/h:9000")])              # still watched after that change
+    zoo.run(1)
+    assert zoo.members["h:9000"].counts["created"] == 3
+
+
+@pytest.mark.parametrize("form", ["serverset", "plain"])
+def test_a_create_whose_answer_is_lost_is_not_done_twice(form, monkeypatch):
+    from cedarshift.standins import ensemble
+    real, lost = ensemble.Server.serve, []
+
+    def forgets(self, connection, request):
+        real(self, connection, request) if request.op != r.CREATE or lost or "/h:" not in str(request.body) and "member_" not in str(
+            request.body) else lost.append(self.ensemble.write(connection, request.op, request.body)) or connection.stream.close()
+    monkeypatch.setattr(ensemble.Server, "serve", forgets)
+    zoo = Zoo(form, members=1)
+    zoo.run(4)
+    assert lost and zoo.members["h:9000"].counts["adopted"] == 1
+    assert len(zoo.ensemble._children()) == 1 and zoo.on() == ["h:9000"]
+
+
+def test_a_restarted_process_replaces_the_node_that_its_life_before_left():
+    zoo = Zoo(members=1)
+    zoo.members["h:9000"].stop()
+    again = zoo.member("h:9000", start="2")
+    zoo.run(1)
+    assert again.registered and zoo.reports("register_replaces")
+    assert zoo.on() == ["h:9000"] and zoo.listed["h:9000"].started is not None      # cold, by its own word
+    zoo.run(4)
+    assert zoo.on() == ["h:9000"]
+
+
+# ---- random troubles
+
+STEP = st.one_of(
+    st.tuples(st.just("new"), st.integers(0, 5)), st.tuples(st.just("leave"), st.integers(0, 5)),
+    st.tuples(st.just("drain"), st.integers(0, 5)), st.tuples(st.just("kill"), st.integers(0, 5)),
+    st.tuples(st.just("expire"), st.integers(0, 5)), st.tuples(st.just("expire_reader"), st.just(0)),
+    st.tuples(st.just("cut"), st.integers(0, 2)), st.tuples(st.just("heal"), st.integers(0, 2)),
+    st.tuples(st.just("lag"), st.integers(0, 2)), st.tuples(st.just("drop"), st.integers(0, 2)),
+    st.tuples(st.just("wait"), st.integers(1, 40)))
+
+
+def trouble(zoo, what, n):
+    name, member = f"h:{n}", zoo.members.get(f"h:{n}")
+    if what == "new" and member is None:
+        zoo.member(name)
+    elif what in ("leave", "kill") and member is not None:
+        del zoo.members[name]
+        if what == "leave":
+            zoo.loop.spawn(member.leave(), "leave")
+        else:
+            member.stop()
+    elif what == "drain" and member is not None and member.registered and member.client.state == "connected":
+        member.drain()
+    elif what == "expire" and member is not None and member.client.session:
+        zoo.expire(name)
+    elif what == "expire_reader" and zoo.source.client.session:
+        zoo.ensemble.control({"expire": [f"{zoo.source.client.session:#x}"]})
+    elif what in ("cut", "heal", "drop"):
+        zoo.ensemble.control({what: [n]})
+    elif what == "lag":
+        zoo.ensemble.control({"lag_ms": {str(n): 700 if not zoo.ensemble.servers[n].lag else 0}})
+    elif what == "wait":
+        zoo.run(n / 10)
+
+
+@WATCHES
+@settings(max_examples=30, deadline=None)
+@given(steps=st.lists(STEP, max_size=25))
+def test_after_quiet_the_list_is_the_tree_and_nobody_vanished_was_kept_past_the_hold(recursive, steps):
+    """Scaled down: six members, three servers, 30 sequences each way of watching. Nothing acks here, so nothing is doubted."""
+    zoo = Zoo(recursive=recursive, members=0)
+    late = []
+
+    def inspect():
+        while True:
+            now = zoo.loop.now()
+            late.extend(name for name, one in zoo.source.judge.gone.items() if now > one.until + 10_000)
+            yield from zoo.loop.sleep(50_000)
+    zoo.loop.spawn(inspect(), "inspect")
+    for what, n in steps:
+        trouble(zoo, what, n)
+    zoo.ensemble.control({"heal": [0, 1, 2], "lag_ms": {"0": 0, "1": 0, "2": 0}})
+    zoo.run(20)
+    registered = {name for name, member in zoo.members.items() if member.registered}
+    assert registered == set(zoo.members)
+    there = {zoo.source.judge.nodes[name].endpoint: zoo.source.judge.nodes[name].phase for name in zoo.source.judge.nodes}
+    assert set(zoo.ensemble._children()) == set(zoo.source.judge.nodes)
+    assert {name: entry.phase for name, entry in zoo.listed.items() if entry.phase != "off"} == there
+    assert set(there) == set(zoo.members) and not late
+    assert not [fields for event, fields in zoo.loop.heard if event == "task_failed"]
--- /dev/null
+++ b/tests/zoo.py
@@ -0,0 +1,66 @@
+"""Builds what the tests of ephemeral nodes need: an ensemble, sources and members on one virtual loop."""
+import random
+
+from cedarshift.roster.ephemeral import EphemeralSource, EphemeralTerms
+from cedarshift.roster.formats import Member
+from cedarshift.roster.register import RegisterTerms, Registration
+from cedarshift.roster.sources import SavedList
+from cedarshift.standins.ensemble import Ensemble, EnsemblePlan
+from program import SECOND, virtual_loop
+
+PLACES = [("127.0.0.1", 2181 + n) for n in range(3)]
+PATH = "/svc/tiles"
+TIMEOUT = 2 * SECOND
+
+
+class Zoo:
+    """An ensemble of three, one reader, and members that register themselves; `told` is what the reader's list was told."""
+
+    def __init__(self, form="plain", recursive=True, hold=SECOND, members=0, pools=False, auth=(), delay=200, reader=True,
+                 saved="", read_only=True):
+        self.loop = virtual_loop(delay)
+        self.form, self.recursive, self.hold, self.pools, self.auth, self.saved = form, recursive, hold, pools, auth, saved
+        self.read_only = read_only
+        self.ensemble = Ensemble(self.loop, EnsemblePlan(PLACES, None, PATH, form))
+        self.members, self.told, self.listed = {}, [], {}
+        for n in range(members):
+            self.member(f"h:{9000 + n}")
+        if members:
+            self.run(1.5)
+        self.source = self.reader() if reader else None
+        if reader:
+            self.run(0.5)
+
+    def run(self, seconds):
+        self.loop.run(self.loop.spawn(self.loop.sleep(int(seconds * SECOND)), "wait"))
+
+    def reader(self, seed=1):
+        terms = EphemeralTerms(tuple(PLACES), PATH, TIMEOUT, self.form, "", self.recursive, self.read_only, self.hold, self.auth)
+        return EphemeralSource(self.loop, terms, self.pools, random.Random(seed).random, SavedList(self.saved), self.hear,
+                               self.loop.report)
+
+    def hear(self, kind, entries):
+        if kind == "replace":
+            self.listed.clear()
+        for entry in entries:
+            self.told.append((self.loop.now(), entry.endpoint, entry.phase))
+            self.listed[entry.endpoint] = entry
+
+    def member(self, endpoint, zone="z", start="", size=1.0, auth=()):
+        terms = RegisterTerms(tuple(PLACES), PATH, TIMEOUT, self.form, "tiles", auth)
+        seed = random.Random(f"{endpoint} {len(self.members)}")
+        made = self.members[endpoint] = Registration(self.loop, terms, Member(endpoint, "on", size, zone, start), seed.random,
+                                                     self.loop.report)
+        return made
+
+    def expire(self, *endpoints):
+        self.ensemble.control({"expire": [f"{self.members[e].client.session:#x}" for e in endpoints]})
+
+    def on(self):
+        return sorted(name for name, entry in self.listed.items() if entry.phase == "on")
+
+    def phases(self, endpoint):
+        return [phase for _, name, phase in self.told if name == endpoint]
+
+    def reports(self, event):
+        return [fields for name, fields in self.loop.heard if name == event]
