--- a/cedarshift/rehearsal/day.py
+++ b/cedarshift/rehearsal/day.py
@@ -54,6 +54,8 @@
     broken: tuple[str, ...]       # rules that this day breaks on purpose
     list_ages: bool = True        # whether the list tells when processes started
     learn: bool = False           # pilots learn from each other
+    roster: str = "service"       # where pilots have their list from: "service", "file" or "zookeeper"
+    session_timeout: int = 4_000_000   # us; of the members' sessions, where they keep ephemeral nodes
     window: tuple[int, int] = (0, 0)   # us; a stretch of the day that is told by itself
 
 
@@ -98,19 +100,29 @@
     "list_unreachable": ("the list service does not answer", {**AT, **FOR}),
     "cut_list": ("a pilot does not reach the list service",
                  {**AT, **FOR, **WHICH, "how": (hcl.choice("drop", "refuse"), "refuse")}),
+    "expire": ("the sessions of `count` endpoints expire while they run", {**AT, **COUNT, **WHICH}),
+    "expire_all": ("the ensemble forgets every session, as when it is restarted from nothing", {**AT}),
+    "expire_pilot": ("a pilot's session expires", {**AT, **WHICH}),
+    "cut_server": ("a server of the ensemble loses the others: it only reads, and nobody hears news there", {**AT, **FOR, **WHICH}),
+    "lag_server": ("a server of the ensemble is late by `delay`", {**AT, **FOR, **WHICH, "delay": (hcl.span(1_000), MUST)}),
     "list_wrong": ("the list calls `count` running endpoints gone", {**AT, **FOR, **COUNT}),
     "bad_proxy": ("a proxy of a broken kind takes the place of a plain one; for seeing the checkers fire",
                   {**AT, **WHICH, "how": (hcl.choice("deaf", "forgetful", "pushy"), MUST)}),
     "loose_pilots": ("pilots are told a channel without limits, while the rules keep to the day's; for the checkers", {**AT}),
 }
 
+ENSEMBLE = ("expire", "expire_all", "expire_pilot", "cut_server", "lag_server")
+LISTED = ("list_unreachable", "list_wrong")
+SERVERS = 3               # of the stand-in ensemble
 DAY = Shape({
     "deployment": (hcl.text, MUST), "length": (hcl.span(1_000_000), MUST), "seed": (hcl.whole(), 1),
     "endpoints": (hcl.whole(1, 200), MUST), "proxies": (hcl.whole(1, 200), MUST), "clients": (hcl.whole(1, 16), 2),
     "rate": (hcl.number(0.1, 5_000), MUST), "work": (hcl.span(1_000), 300_000), "keys": (hcl.whole(1), 2_000),
     "zipf": (hcl.number(0, 3), 0.7), "retries": (hcl.whole(0, 5), 2), "notice": (hcl.span(), 2_000_000),
     "add_notice": (hcl.span(), 1_500_000), "broken": (hcl.texts, []),
-    "list_ages": (hcl.flag, True), "learn": (hcl.flag, False), "window_from": (hcl.span(), 0), "window_to": (hcl.span(), 0)},
+    "list_ages": (hcl.flag, True), "learn": (hcl.flag, False),
+    "roster": (hcl.choice("service", "file", "zookeeper"), "service"), "session_timeout": (hcl.span(400_000), 4_000_000),
+    "window_from": (hcl.span(), 0), "window_to": (hcl.span(), 0)},
     {"endpoint_kind": (KIND, 1, 0, 16), "op_share": (Shape({"share": (hcl.number(0, 1000), MUST)}), 1, 0, 64),
      "fault": (Shape({}), 1, 0, 200)})
 FILE = Shape({}, {"rehearsal": (DAY, 1, 1, 1)})
@@ -176,8 +188,11 @@
             problems.append(Problem(day.file, 0, f"op_share {name!r} is no op type of {day.deployment.file}"))
     limits = {"kill_proxy": day.proxies, "pause_proxy": day.proxies, "kill_endpoint": day.endpoints, "hang": day.endpoints, "bad_proxy": day.proxies,
               "kill_pilot": len(day.deployment.pilots), "kill_pilot_in_order": len(day.deployment.pilots),
-              "pause_pilot": len(day.deployment.pilots), "cut_store": len(day.deployment.pilots), "cut_list": len(day.deployment.pilots)}
+              "pause_pilot": len(day.deployment.pilots), "cut_store": len(day.deployment.pilots), "cut_list": len(day.deployment.pilots),
+              "expire_pilot": len(day.deployment.pilots), "cut_server": SERVERS, "lag_server": SERVERS}
     for fault in day.faults:
+        if fault.kind in ENSEMBLE and day.roster != "zookeeper" or fault.kind in LISTED and day.roster != "service":
+            problems.append(Problem(day.file, fault.line, f"fault {fault.kind} does not go with the roster {day.roster}"))
         if fault.at >= day.length:
             problems.append(Problem(day.file, fault.line, f"fault {fault.kind} begins after the day's end"))
         if fault.values.get("which", 0) >= limits.get(fault.kind, 1 << 30):
--- a/cedarshift/roster/ephemeral.py
+++ b/cedarshift/roster/ephemeral.py
@@ -14,6 +14,7 @@
 from cedarshift.roster.sources import SavedList, Tell
 from cedarshift.roster.zookeeper import CONNECTED, GONE, LOST, ZooClient
 
+SOON = 20_000             # us; sums come in bursts, and each look goes over the whole list
 REFUSED_SHOWN = 20        # broken nodes named in a report
 
 
@@ -95,7 +96,7 @@
         """What the proxies met there; it decides whether a vanished endpoint is dead."""
         self.judge.on_sums(self.loop.now(), endpoint, tries, aborted)
         if endpoint in self.judge.gone:
-            self._hand_on()
+            self._look_at(self.loop.now() + SOON)
 
     # ---- from the nodes to the list
 
@@ -112,20 +113,18 @@
         for name, raw in seen.items():
             self.seen_at[name] = now
             node = self._read(name, raw)
-            if node is not None:
-                nodes[name] = node
+            if node is not None:             # one that can't be read any more keeps what it said last: a bad write must not
+                nodes[name] = node           # take an endpoint away
+        if whole:
+            gone = set(self.judge.nodes) - set(self.follower.nodes)
+            self.seen_at = {name: self.seen_at.get(name, now) for name in self.follower.nodes}
+            self.refused = {name: why for name, why in self.refused.items() if name in self.follower.nodes}
+            self.primed = True
         for name in gone:
             self.seen_at.pop(name, None)
             self.refused.pop(name, None)
-        # A node that can't be read any more keeps what it said last: one bad write must not take an endpoint away.
-        kept = {name: self.judge.nodes[name] for name in seen if name not in nodes and name in self.judge.nodes}
-        self.judge.on_nodes(now, {**nodes, **kept}, gone, whole)
-        if whole:
-            self.seen_at = {name: self.seen_at[name] for name in seen}
-            self.refused = {name: why for name, why in self.refused.items() if name in seen}
+        self.judge.on_nodes(now, nodes, gone)
         self.rev = max(self.rev, self.client.last_zxid)
-        if whole:
-            self.primed = True
         self._hand_on()
 
     def _read(self, name: str, raw: Raw) -> Optional[Node]:
@@ -165,8 +164,17 @@
     def _look_again(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
+            self.timer = None
         due = self.judge.due()
-        self.timer = self.loop.at(due, self._hand_on) if due is not None else None
+        if due is not None:
+            self._look_at(due)
+
+    def _look_at(self, due: int) -> None:
+        """At the earliest of what was asked for."""
+        if self.timer is None or self.timer.call is None or self.timer.at > due:
+            if self.timer is not None:
+                self.timer.cancel()
+            self.timer = self.loop.at(due, self._hand_on)
 
     # ---- for people
 
@@ -184,7 +192,7 @@
                 "heard_s": heard, "session": f"{client.session:#x}", "timeout_ms": client.timeout // 1000,
                 "zxid": f"{client.last_zxid:#x}", "watch": "recursive" if self.follower.recursive else "one-shot",
                 "denied": self.follower.denied, "members": rows, "vanished": held,
-                "refused": [{"node": name, "reason": why} for name, why in sorted(self.refused.items())],
+                "refused": [{"node": name, "reason": why} for name, why in sorted({**self.refused, **self.follower.unreadable}.items())],
                 "counts": {**client.counts, **judge.counts}}
 
 
--- a/cedarshift/roster/members.py
+++ b/cedarshift/roster/members.py
@@ -17,6 +17,7 @@
 from cedarshift.roster.zookeeper import CONNECTED, GONE, READ_ONLY, Call, ZooClient
 
 IN_FLIGHT = 64            # calls at once: a list of thousands must not stand in a server's queue whole
+BATCH = 200               # children told on at once: judging a batch holds the loop up for some ms
 AGAIN = 250_000           # us before the next try where a reading failed on a standing connection
 AGAIN_MOST = 8_000_000    # us; an ACL that denies is not lifted by asking often
 
@@ -28,12 +29,20 @@
     born: int
 
 
-# What changed: children that are new or differ, children that left; whether this is the whole list.
+# What changed: children that are new or differ, children that left; whether all has been read now (`nodes` has it).
 Tell = Callable[[dict[str, Raw], set[str], bool], None]
 
 
+class Batch:
+    """What was read and not told yet."""
+
+    def __init__(self) -> None:
+        self.seen: dict[str, Raw] = {}
+        self.gone: set[str] = set()
+
+
 class Follower:
-    """`tell(seen, gone, whole)` is called with each batch; `whole` once after each time that everything was read anew."""
+    """`tell(seen, gone, whole)` is called with each batch; `whole`, alone, after each time that everything was read anew."""
 
     def __init__(self, loop: Loop, path: str, recursive: bool, wanted: Callable[[str], bool], tell: Tell,
                  report: Callable[..., None]) -> None:
@@ -50,6 +59,7 @@
         self.dirty: dict[str, None] = {}
         self.whole = False                   # everything is to be told as a whole once it is read
         self.fresh = False                   # a session of which nothing was read yet
+        self.unreadable: dict[str, str] = {} # children that may not be read, and why
         self.denied = ""                     # why nothing can be read, for people
         self.waiting: Optional[Waker] = None
         self.task = loop.spawn(self._work(), "zookeeper follower")
@@ -135,7 +145,7 @@
         yield from self._read_dirty()
         if self.whole and not (self.list_dirty or self.dirty):
             self.whole = False
-            self.tell(dict(self.nodes), set(), True)
+            self.tell({}, set(), True)
 
     def _watch_tree(self) -> Coroutine:
         assert self.client is not None
@@ -162,6 +172,7 @@
             self._drop(set(self.nodes))
             return
         names = {name for name in got.children if self.wanted(name)}
+        self.unreadable = {name: why for name, why in self.unreadable.items() if name in names}
         self._drop(set(self.nodes) - names)
         for name in sorted(names - set(self.nodes)):
             self.dirty[name] = None
@@ -176,11 +187,10 @@
                 raise
 
     def _read_dirty(self) -> Coroutine:
-        """A window over the dirty children; what was read until a failure is told, the rest stays dirty."""
+        """A window over the dirty children, told on in batches; what was read until a failure is told, the rest stays dirty."""
         assert self.client is not None
         flight: deque[tuple[str, Call]] = deque()
-        seen: dict[str, Raw] = {}
-        gone: set[str] = set()
+        batch = Batch()
         try:
             while self.dirty or flight:
                 while self.dirty and len(flight) < IN_FLIGHT:
@@ -188,31 +198,43 @@
                     del self.dirty[name]
                     flight.append((name, self.client.post(r.GET_DATA, r.Watched(self._below() + name, not self.recursive))))
                 name, call = flight[0]
-                got = None
-                try:
-                    got = yield from call.wait()
-                except ZooError as error:
-                    if error.code == Code.NO_NODE:
-                        gone.add(name)
-                        seen.pop(name, None)
-                        if not self.recursive:
-                            self.list_dirty = True
-                    elif error.code == Code.NO_AUTH:
-                        self.report("node_refused", node=name, reason=str(error))
-                    else:
-                        raise
+                yield from self._take(name, call, batch)
                 flight.popleft()
-                if got is not None:
-                    seen[name] = Raw(got.data, got.stat.owner, got.stat.czxid)
-                    gone.discard(name)
+                if len(batch.seen) + len(batch.gone) >= BATCH:
+                    self._tell(batch)
+                    batch = Batch()
+                    yield from self.loop.breathe()
         finally:
             self.dirty.update({name: None for name, _ in flight})
-            # What is to be read again was overtaken by an event: to tell it would bring back a node that has left.
-            changed = {name: raw for name, raw in seen.items() if name not in self.dirty and self.nodes.get(name) != raw}
-            left = {name for name in gone if self.nodes.pop(name, None) is not None}
-            self.nodes.update(changed)
-            if changed or left:
-                self.tell(changed, left, False)
+            self._tell(batch)
+
+    def _take(self, name: str, call: Call, batch: Batch) -> Coroutine:
+        """One answer into the batch. Raises ZooError for what concerns more than this child."""
+        try:
+            got = yield from call.wait()
+        except ZooError as error:
+            if error.code == Code.NO_NODE:
+                batch.gone.add(name)
+                batch.seen.pop(name, None)
+                self.list_dirty = self.list_dirty or not self.recursive
+            elif error.code == Code.NO_AUTH:
+                if name not in self.unreadable:
+                    self.report("node_refused", node=name, reason=str(error))
+                self.unreadable[name] = str(error)
+            else:
+                raise
+            return
+        self.unreadable.pop(name, None)
+        batch.gone.discard(name)
+        batch.seen[name] = Raw(got.data, got.stat.owner, got.stat.czxid)
+
+    def _tell(self, batch: Batch) -> None:
+        # What is to be read again was overtaken by an event: to tell it would bring back a node that has left.
+        changed = {name: raw for name, raw in batch.seen.items() if name not in self.dirty and self.nodes.get(name) != raw}
+        left = {name for name in batch.gone if self.nodes.pop(name, None) is not None}
+        self.nodes.update(changed)
+        if changed or left:
+            self.tell(changed, left, False)
 
 
 __all__ = ["Follower", "IN_FLIGHT", "Raw"]
--- a/cedarshift/standins/endpoint.py
+++ b/cedarshift/standins/endpoint.py
@@ -13,10 +13,23 @@
 
 from cedarshift.loop import Loop, listen
 from cedarshift.loop.core import Coroutine, Waker
+from cedarshift.roster.formats import Member
+from cedarshift.roster.register import RegisterTerms, Registration
 from cedarshift.standins.record import Recorder
 from cedarshift.web import Answer, Asked, serve_http
 
 
+class OwnNode(msgspec.Struct):
+    """Where an endpoint keeps its own ephemeral node, and what that says."""
+    servers: list[tuple[str, int]]
+    path: str
+    timeout_us: int
+    form: str
+    size: float
+    start: str
+    user: str
+
+
 class EndpointPlan(msgspec.Struct):
     """`speed` 1 does work as asked; `tip_multiple` times the present capacity for `tip_after_us` makes it fall over."""
     name: str
@@ -34,6 +47,7 @@
     connections_most: int = 2_000
     warm: bool = True
     seed: int = 0
+    node: Optional[OwnNode] = None
 
 
 class Op:
@@ -66,6 +80,13 @@
         recorder.note("start", plan.name, plan.zone, plan.cores, plan.speed, plan.warm)
         listener = listen(loop, plan.address, plan.connections_most)
         loop.spawn(serve_http(loop, listener, self._answer), "http")
+        self.registration = self._register(plan.node) if plan.node is not None else None
+
+    def _register(self, node: OwnNode) -> Registration:
+        terms = RegisterTerms(tuple(node.servers), node.path, node.timeout_us, node.form, "stand-in",
+                              (("digest", f"{node.user}:{node.user}".encode()),))
+        member = Member(self.plan.name, "on", node.size, self.plan.zone, node.start)
+        return Registration(self.loop, terms, member, self.chance.random, self.loop.report)
 
     # ---- what is asked
 
@@ -82,6 +103,8 @@
     def _control(self, order: dict[str, Any]) -> None:
         self.recorder.note("control", order)
         self.drains = order.get("drain", self.drains)
+        if self.drains and self.registration is not None:
+            self.registration.drain()
         self.fail = order.get("fail", self.fail)
         self.fail_type = order.get("fail_type", self.fail_type)
         self.cut = order.get("cut", self.cut)
--- a/tests/test_zookeeper.py
+++ b/tests/test_zookeeper.py
@@ -346,6 +346,7 @@
     zoo.run(3)
     assert zoo.on() == sorted(zoo.members) and zoo.source.shown()["vanished"][0]["in_doubt"]
     zoo.source.on_sums("h:9000", 20, 20)             # the data plane loses ops there: it is dead
+    zoo.run(0.1)
     assert zoo.on() == ["h:9001", "h:9002"]
     zoo.member("n:1")
     zoo.run(1)
@@ -634,3 +635,27 @@
     assert {name: entry.phase for name, entry in zoo.listed.items() if entry.phase != "off"} == there
     assert set(there) == set(zoo.members) and not late
     assert not [fields for event, fields in zoo.loop.heard if event == "task_failed"]
+
+
+def test_what_an_event_overtook_is_not_told():
+    zoo = Zoo(members=1)
+    told = []
+    follower = members_module.Follower(zoo.loop, PATH, True, lambda name: True, lambda *told_now: told.append(told_now), zoo.loop.report)
+    batch = members_module.Batch()
+    batch.seen = {"x": members_module.Raw(b"", 0, 1), "y": members_module.Raw(b"", 0, 2)}
+    follower.dirty["x"] = None
+    follower._tell(batch)
+    assert [set(seen) for seen, _, _ in told] == [{"y"}] and set(follower.nodes) == {"y"}
+
+
+@WATCHES
+def test_an_update_whose_reading_was_cut_off_is_read_again(recursive):
+    zoo = Zoo(recursive=recursive, members=2, delay=5_000)
+    zoo.ensemble.commit([("create", f"{PATH}/x", write_member(Member("x:1", "on", 1.0, "z", "1"), "plain"), OPEN_ACL, 0)])
+    zoo.run(1)
+    zoo.ensemble.commit([("set", f"{PATH}/x", write_member(Member("x:1", "fading", 1.0, "z", "1"), "plain"))])
+    while not any(call.op == r.GET_DATA for call in zoo.source.client.calls):
+        zoo.run(0.001)
+    zoo.ensemble.control({"drop": [0, 1, 2]})
+    zoo.run(4)
+    assert zoo.listed["x:1"].phase == "fading" and zoo.source.client.counts["expiries"] == 0
