--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -162,7 +162,7 @@
             self.ask_wait, self.ask_at = ASK_AGAIN, now + RENEW * self.ask_most
         for e in entries:
             known = self.endpoints.setdefault(e.endpoint, Endpoint(e.endpoint))
-            self._set_phase(known, e.phase, now)
+            self._set_phase(known, e.phase, now - e.late)
             if e.started and e.started != known.started:
                 known.samples.clear()        # a new process: what the old one did tells nothing
                 known.sick_until = 0
--- a/cedarshift/deployment/deployment.py
+++ b/cedarshift/deployment/deployment.py
@@ -45,8 +45,8 @@
 
 @dataclass(frozen=True)
 class NodeRoster:
-    """Members that keep ephemeral nodes under `path`. `hold`: how long a vanished node may stay untold, which is taken off
-    the drain's grace. `auth`: (scheme, credential) each."""
+    """Members that keep ephemeral nodes under `path`. `hold`: how long a vanished node may stay untold; its grace runs
+    meanwhile. `auth`: (scheme, credential) each."""
     servers: tuple[Address, ...]
     path: str
     session_timeout: int
--- a/cedarshift/interface.py
+++ b/cedarshift/interface.py
@@ -15,12 +15,14 @@
 
 
 class Entry(NamedTuple):
-    """One endpoint as the list shows it; `started` is None where the start lies long back."""
+    """One endpoint as the list shows it; `started` is None where the start lies long back. `late`: how long ago the host was
+    told of this phase, where it has kept the news back; the drain's grace runs from then."""
     endpoint: str
     phase: str  # "on", "fading" or "off"
     size: float
     zone: str
     started: Optional[int]
+    late: int = 0
 
 
 @dataclass(frozen=True)
--- a/cedarshift/judge/membership.py
+++ b/cedarshift/judge/membership.py
@@ -5,8 +5,8 @@
 
 - which node speaks for an endpoint: the newest;
 - when a vanished node is told on: at once where it drained before, or where the data plane loses ops there; else after
-  `hold`, within which it may come back as if nothing had been. The grace of the drain runs from the vanishing, so the
-  module's is shorter by `hold`;
+  `hold`, within which it may come back as if nothing had been. The grace of the drain runs from the vanishing, so
+  it is told on with how long it was held;
 - whether a node that returns is another process;
 - that a pool is never emptied by vanished nodes alone while its endpoints ack: then the last ones stand, in doubt.
 """
@@ -38,12 +38,13 @@
 
 
 class Told(NamedTuple):
-    """An entry as it is told on. `process` is another text for each process."""
+    """An entry as it is told on. `process` is another text for each process; `late`: us for which the news was held back."""
     endpoint: str
     phase: str
     size: float
     zone: str
     process: str
+    late: int = 0
 
 
 class Gone(NamedTuple):
@@ -192,8 +193,9 @@
                 listed[endpoint] = one.last
         for endpoint in self._stand_in_doubt(now, listed):
             listed[endpoint] = self.gone[endpoint].last
+        since: dict[str, int] = {}
         for endpoint in [name for name in sorted(self.gone) if name not in listed or listed[name].phase == OFF]:
-            del self.gone[endpoint]
+            since[endpoint] = self.gone.pop(endpoint).since
             self.doubted.discard(endpoint)
             self.counts["told_gone"] += 1
         changed = [entry for endpoint, entry in sorted(listed.items()) if self.told.get(endpoint) != entry
@@ -202,7 +204,7 @@
                 if endpoint not in listed and entry.phase != OFF]
         for entry in changed + left:
             self.told[entry.endpoint] = entry
-        return changed + left
+        return changed + [entry._replace(late=now - since.get(entry.endpoint, now)) for entry in left]
 
     def _loses(self, now: int, endpoint: str, one: Gone) -> bool:
         tries, aborted = self.endpoints[endpoint].acks(max(one.since, now - SUMS_FRESH))
--- a/cedarshift/pilot/terms.py
+++ b/cedarshift/pilot/terms.py
@@ -19,8 +19,6 @@
 def terms(deployment: Deployment, place: int, seed: int) -> Terms:
     """`place`: the pilot's place among the deployment's pilots, from 0."""
     d, proxy, channel, rules = deployment, deployment.proxy, deployment.channel, deployment.rules
-    # A vanished node may stay untold for a while, and the grace runs from its vanishing.
-    held = d.listed.nodes.hold if d.listed.nodes is not None else 0
     ops = tuple(OpType(op.name, up(op.target_latency), up(op.op_timeout), op.writes, op.own_zone) for op in d.op_types)
     return Terms(
         op_types=ops, zones=d.zones, slices=d.slices, single_owner=d.single_owner, asks_list=d.listed.asks,
@@ -30,5 +28,5 @@
         messages_most=channel.messages_most, messages_span=up(channel.messages_span),
         transit_most=up(channel.transit_most), connect_most=up(proxy.connect_most),
         report_period=up(proxy.report_every), lease=up(proxy.lease), in_flight_most=up(proxy.in_flight_most),
-        drain_grace=down(rules.drain_grace - held), ask_within=down(rules.ask_within), warm_within=up(rules.warm_within),
+        drain_grace=down(rules.drain_grace), ask_within=down(rules.ask_within), warm_within=up(rules.warm_within),
         cold_share=rules.cold_share, tip_multiple=rules.tip_multiple)
--- a/cedarshift/roster/ephemeral.py
+++ b/cedarshift/roster/ephemeral.py
@@ -8,11 +8,12 @@
 from cedarshift.judge.membership import Membership, Node, Told
 from cedarshift.loop import Loop
 from cedarshift.loop.core import Timer
-from cedarshift.roster.entries import Listed, ListRefused, Starts, WholeList
+from cedarshift.roster.entries import UNIT, Listed, ListRefused, Starts, WholeList
 from cedarshift.roster.formats import NodeRefused, is_member, read_member
 from cedarshift.roster.members import Follower, Raw
 from cedarshift.roster.sources import SavedList, Tell
 from cedarshift.roster.zookeeper import CONNECTED, GONE, LOST, ZooClient
+from cedarshift.units import up
 
 SOON = 20_000             # us; sums come in bursts, and each look goes over the whole list
 REFUSED_SHOWN = 20        # broken nodes named in a report
@@ -148,7 +149,8 @@
             self.whole_told = True
             listed = [self._listed(told) for told in changed]
             self._keep(WholeList(listed, kind))
-            self.tell(kind, self.starts.entries(self.loop.now(), listed))
+            entries = self.starts.entries(self.loop.now(), listed)
+            self.tell(kind, [entry._replace(late=up(told.late, UNIT)) for entry, told in zip(entries, changed)])
         self._look_again()
 
     def _keep(self, got: WholeList) -> None:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -91,6 +91,14 @@
     assert (("line", 0, "a", 0) in decisions(p, at)) is emptied
 
 
+@pytest.mark.parametrize("late, emptied", [(0, False), (20_000, True)])
+def test_the_grace_of_news_that_was_kept_back_runs_from_when_the_host_was_told(late, emptied):
+    p = pilot()
+    p.on_list(100_000, "update", [entry("a", "fading")._replace(late=late)])
+    decisions(p, 100_000)
+    assert (("line", 0, "a", 0) in decisions(p, 118_000)) is emptied
+
+
 def test_a_dead_owners_line_goes_at_once():
     p = pilot()
     p.on_list(100_000, "update", [entry("a", "off")])
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -176,3 +176,17 @@
     there = {name: j._entry(name).phase for name in j.of_endpoint}
     assert {n: p for n, p in state.items() if p != "off"} == {n: p for n, p in there.items() if p != "off"}
     assert not j.gone and j.due() is None
+
+
+@pytest.mark.parametrize("looked_at, late", [(HOLD, HOLD), (3 * S, 3 * S)])
+def test_news_that_was_held_back_says_for_how_long(looked_at, late):
+    j = judge(node("a"), node("b"))
+    j.on_nodes(0, {}, {"n0"})
+    assert j.take(HOLD - 1) == []
+    assert [one.late for one in j.take(looked_at)] == [late] and j.told["a"].late == 0
+
+
+def test_a_drain_was_not_held_back():
+    j = judge(node("a", "fading"), node("b"))
+    j.on_nodes(S, {}, {"n0"})
+    assert [one.late for one in j.take(S)] == [0]
--- a/tests/test_zookeeper.py
+++ b/tests/test_zookeeper.py
@@ -2,7 +2,7 @@
 import struct
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from cedarshift.codec.zookeeper import Broken, Code, ZooError
@@ -14,7 +14,7 @@
 from cedarshift.roster.formats import Member, NodeRefused, read_member, write_member
 from cedarshift.roster.zookeeper import ZooClient
 from program import SECOND, virtual_loop
-from zoo import PATH, PLACES, Zoo
+from zoo import DOORS, PATH, PLACES, Zoo
 
 STAT = r.Stat(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)
 OPEN_ACL = [r.Acl(31, r.Id("world", "anyone"))]
@@ -583,6 +583,7 @@
     st.tuples(st.just("expire"), st.integers(0, 5)), st.tuples(st.just("expire_reader"), st.just(0)),
     st.tuples(st.just("cut"), st.integers(0, 2)), st.tuples(st.just("heal"), st.integers(0, 2)),
     st.tuples(st.just("lag"), st.integers(0, 2)), st.tuples(st.just("drop"), st.integers(0, 2)),
+    st.tuples(st.just("part"), st.integers(0, 5)), st.tuples(st.just("join"), st.just(0)),
     st.tuples(st.just("wait"), st.integers(1, 40)))
 
 
@@ -604,6 +605,12 @@
         zoo.ensemble.control({"expire": [f"{zoo.source.client.session:#x}"]})
     elif what in ("cut", "heal", "drop"):
         zoo.ensemble.control({what: [n]})
+    elif what == "part":                             # the network between the members and the ensemble, for 4 s at least
+        zoo.loop.network.refuse.update(DOORS)
+        zoo.ensemble.control({"drop": [3, 4, 5]})
+        zoo.run(4)
+    elif what == "join":
+        zoo.loop.network.refuse.clear()
     elif what == "lag":
         zoo.ensemble.control({"lag_ms": {str(n): 700 if not zoo.ensemble.servers[n].lag else 0}})
     elif what == "wait":
@@ -612,19 +619,28 @@
 
 @WATCHES
 @settings(max_examples=30, deadline=None)
+@example(steps=[("new", 1), ("new", 2), ("wait", 20), ("part", 0), ("wait", 10)])
+@example(steps=[("new", 1), ("wait", 20), ("expire_reader", 0), ("part", 0), ("kill", 1), ("wait", 30)])
 @given(steps=st.lists(STEP, max_size=25))
-def test_after_quiet_the_list_is_the_tree_and_nobody_vanished_was_kept_past_the_hold(recursive, steps):
-    """Scaled down: six members, three servers, 30 sequences each way of watching. Nothing acks here, so nothing is doubted."""
-    zoo = Zoo(recursive=recursive, members=0)
-    late = []
+def test_after_quiet_the_list_is_the_tree_and_no_pool_was_empty_while_an_endpoint_served(recursive, steps):
+    """Scaled down: six members, three servers, 30 sequences each way of watching. Who runs acks, who was killed loses its ops."""
+    zoo = Zoo(recursive=recursive, apart=True)
+    late, empty, ever = [], [], set()
 
     def inspect():
         while True:
             now = zoo.loop.now()
-            late.extend(name for name, one in zoo.source.judge.gone.items() if now > one.until + 10_000)
+            ever.update(zoo.on())
+            serving = [n for n in ever if n in zoo.members and zoo.members[n].member.phase == "on"]
+            for name in ever:
+                zoo.source.on_sums(name, 20, 0 if name in zoo.members else 20)
+            late.extend(name for name, one in zoo.source.judge.gone.items()
+                        if now > one.until + 10_000 and name not in zoo.source.judge.doubted)
+            if serving and not zoo.on() and not any(zoo.listed[n].phase == "fading" for n in serving):
+                empty.append((now, serving))
             yield from zoo.loop.sleep(50_000)
     zoo.loop.spawn(inspect(), "inspect")
-    for what, n in steps:
+    for what, n in [*steps, ("join", 0)]:
         trouble(zoo, what, n)
     zoo.ensemble.control({"heal": [0, 1, 2], "lag_ms": {"0": 0, "1": 0, "2": 0}})
     zoo.run(20)
@@ -633,7 +649,7 @@
     there = {zoo.source.judge.nodes[name].endpoint: zoo.source.judge.nodes[name].phase for name in zoo.source.judge.nodes}
     assert set(zoo.ensemble._children()) == set(zoo.source.judge.nodes)
     assert {name: entry.phase for name, entry in zoo.listed.items() if entry.phase != "off"} == there
-    assert set(there) == set(zoo.members) and not late
+    assert set(there) == set(zoo.members) and not late and not empty
     assert not [fields for event, fields in zoo.loop.heard if event == "task_failed"]
 
 
--- a/tests/zoo.py
+++ b/tests/zoo.py
@@ -9,6 +9,7 @@
 from program import SECOND, virtual_loop
 
 PLACES = [("127.0.0.1", 2181 + n) for n in range(3)]
+DOORS = [("127.0.0.1", 2191 + n) for n in range(3)]   # the members' own, where a network is to be cut between the two
 PATH = "/svc/tiles"
 TIMEOUT = 2 * SECOND
 
@@ -17,11 +18,12 @@
     """An ensemble of three, one reader, and members that register themselves; `told` is what the reader's list was told."""
 
     def __init__(self, form="plain", recursive=True, hold=SECOND, members=0, pools=False, auth=(), delay=200, reader=True,
-                 saved="", read_only=True):
+                 saved="", read_only=True, apart=False):
         self.loop = virtual_loop(delay)
         self.form, self.recursive, self.hold, self.pools, self.auth, self.saved = form, recursive, hold, pools, auth, saved
         self.read_only = read_only
-        self.ensemble = Ensemble(self.loop, EnsemblePlan(PLACES, None, PATH, form))
+        self.doors = DOORS if apart else PLACES
+        self.ensemble = Ensemble(self.loop, EnsemblePlan(PLACES + (DOORS if apart else []), None, PATH, form))
         self.members, self.told, self.listed = {}, [], {}
         for n in range(members):
             self.member(f"h:{9000 + n}")
@@ -47,7 +49,7 @@
             self.listed[entry.endpoint] = entry
 
     def member(self, endpoint, zone="z", start="", size=1.0, auth=()):
-        terms = RegisterTerms(tuple(PLACES), PATH, TIMEOUT, self.form, "tiles", auth)
+        terms = RegisterTerms(tuple(self.doors), PATH, TIMEOUT, self.form, "tiles", auth)
         seed = random.Random(f"{endpoint} {len(self.members)}")
         made = self.members[endpoint] = Registration(self.loop, terms, Member(endpoint, "on", size, zone, start), seed.random,
                                                      self.loop.report)
