Many members that vanish together are told of, with what tells the cause

Rate alone tells no cause, and the grace bounds doubt whatever it is, so nothing is decided by it; but a person should hear at once that thirty nodes went, how many of them still ack, how many lose their ops, and whether this pilot's own session expired too.

--- a/cedarshift/cli/log.py
+++ b/cedarshift/cli/log.py
@@ -8,7 +8,8 @@
 
 WARNINGS = {"task_failed", "slow_step", "store_lost", "charge_lapsed", "order_refused", "turn_dropped", "list_refused",
             "list_failed", "saved_list_refused", "list_not_saved", "proxy_stalled", "session_refused", "reload_refused",
-            "rule_at_risk", "store_failed"}
+            "rule_at_risk", "store_failed", "mass_vanishing", "source_went_back", "source_refuses", "source_auth_refused",
+            "node_refused", "register_failed"}
 
 
 def make_report(form: str, **always: Any) -> Callable[..., None]:
--- a/cedarshift/judge/membership.py
+++ b/cedarshift/judge/membership.py
@@ -22,6 +22,9 @@
 SUMS_FRESH = 10_000_000   # us; older sums tell nothing of now
 LOSES = 0.5               # share of ops aborted from which a vanished endpoint counts as dead: half of its ops are lost
 LOSES_LEAST = 4           # ops; fewer are chance
+MASS_WITHIN = 2_000_000   # us within which endpoints vanish "together"
+MASS_LEAST = 3            # endpoints; two at once are chance
+MASS_SHARE = 0.2          # share of the listed; a rolling deploy takes fewer at a time
 
 ON, FADING, OFF = "on", "fading", "off"
 
@@ -54,6 +57,14 @@
     last: Told
 
 
+class Mass(NamedTuple):
+    """Many that vanished together: how many, of how many listed, and what the data plane says of them since."""
+    vanished: int
+    listed: int
+    acking: int
+    losing: int
+
+
 class Endpoint:
     """What is known of one endpoint beside its nodes."""
 
@@ -178,6 +189,18 @@
         node = max((self.nodes[name] for name in names), key=lambda one: one.born)
         return Told(endpoint, node.phase, node.size, node.zone, self.endpoints[endpoint].process)
 
+    def mass(self, now: int) -> Optional[Mass]:
+        """A vanishing that people should hear of, since no single cause can be read from it: a deploy, a cut between members
+        and servers, and servers that forgot all sessions look alike by number. Who acks still tells them apart afterwards."""
+        recent = [endpoint for endpoint, one in self.gone.items() if now - one.since <= MASS_WITHIN and one.last.phase == ON]
+        listed = sum(one.phase == ON for one in self.told.values())
+        if len(recent) < max(MASS_LEAST, MASS_SHARE * listed):
+            return None
+        sums = [self.endpoints[endpoint].acks(self.gone[endpoint].since) for endpoint in recent]
+        losing = sum(tries >= LOSES_LEAST and aborted >= LOSES * tries for tries, aborted in sums)
+        acking = sum(tries >= LOSES_LEAST and aborted < LOSES * tries for tries, aborted in sums)
+        return Mass(len(recent), listed, acking, losing)
+
     # ---- what is told
 
     def due(self) -> Optional[int]:
@@ -235,4 +258,4 @@
         return tries > 0 and aborted < LOSES * tries
 
 
-__all__ = ["Membership", "Node", "Told"]
+__all__ = ["Mass", "Membership", "Node", "Told"]
--- a/cedarshift/roster/ephemeral.py
+++ b/cedarshift/roster/ephemeral.py
@@ -5,7 +5,7 @@
 from typing import Any, Callable, NamedTuple, Optional
 
 from cedarshift.interface import Entry
-from cedarshift.judge.membership import Membership, Node, Told
+from cedarshift.judge.membership import Mass, Membership, Node, Told
 from cedarshift.loop import Loop
 from cedarshift.loop.core import Timer
 from cedarshift.roster.entries import UNIT, Listed, ListRefused, Starts, WholeList
@@ -15,6 +15,8 @@
 from cedarshift.roster.zookeeper import CONNECTED, GONE, LOST, ZooClient
 from cedarshift.units import up
 
+MASS_AGAIN = 5_000_000    # us; one report for each vanishing
+MASS_LOOK = 500_000       # us after it was noticed
 SOON = 20_000             # us; sums come in bursts, and each look goes over the whole list
 REFUSED_SHOWN = 20        # broken nodes named in a report
 
@@ -51,6 +53,8 @@
         self.whole_told = False
         self.seen_at: dict[str, int] = {}    # node -> when it was last read or heard of
         self.timer: Optional[Timer] = None
+        self.mass_at = -MASS_AGAIN
+        self.expired_at: Optional[int] = None
         self.follower = Follower(loop, terms.path, terms.recursive, lambda name: is_member(name, terms.form), self._nodes,
                                  report)
         self.client = ZooClient(loop, list(terms.servers), terms.session_timeout, chance, self._state, self.follower.on_event,
@@ -104,6 +108,8 @@
     def _state(self, state: str) -> None:
         if state in (LOST, GONE) and self.client.heard_at is not None:
             self.lost_at = self.client.heard_at
+        if state == GONE:
+            self.expired_at = self.loop.now()
         self.state_since = self.loop.now()
         self.report("source_state", state=state)
         self.follower.on_state(state)
@@ -144,6 +150,7 @@
         """Nothing before all was read once: half a list would call the other half's owners gone."""
         if not self.primed:
             return
+        self._tell_of_mass()
         changed, kind = self.judge.take(self.loop.now()), "update" if self.whole_told else "replace"
         if changed or not self.whole_told:
             self.whole_told = True
@@ -153,6 +160,21 @@
             self.tell(kind, [entry._replace(late=up(told.late, UNIT)) for entry, told in zip(entries, changed)])
         self._look_again()
 
+    def _tell_of_mass(self) -> None:
+        """Once for each vanishing of many, a moment later: by then it shows whether this pilot's session expired too."""
+        now = self.loop.now()
+        mass = self.judge.mass(now)
+        if mass is not None and now - self.mass_at >= MASS_AGAIN:
+            self.mass_at = now
+            self.loop.at(now + MASS_LOOK, self._report_mass, mass)
+
+    def _report_mass(self, mass: Mass) -> None:
+        now = self.loop.now()
+        mass = self.judge.mass(now) or mass
+        expired = self.expired_at is not None and now - self.expired_at <= 2 * self.client.timeout
+        self.report("mass_vanishing", vanished=mass.vanished, listed=mass.listed, acking=mass.acking, losing=mass.losing,
+                    own_session="expired too" if expired else "lived")
+
     def _keep(self, got: WholeList) -> None:
         try:
             self.saved.keep(got)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -190,3 +190,22 @@
     j = judge(node("a", "fading"), node("b"))
     j.on_nodes(S, {}, {"n0"})
     assert [one.late for one in j.take(S)] == [0]
+
+
+@pytest.mark.parametrize("listed, vanish, apart, mass", [
+    (10, 2, 0, None), (10, 3, 0, (3, 10)), (30, 5, 0, None), (30, 6, 0, (6, 30)), (10, 4, 1.5, None), (10, 4, 0.5, (4, 10))])
+def test_a_vanishing_of_many(listed, vanish, apart, mass):
+    j, now = judge(*[node(f"e{n}") for n in range(listed)], hold=30 * S), 0
+    for n in range(vanish):
+        j.on_nodes(now, {}, {f"n{n}"})
+        now += int(apart * S)
+    got = j.mass(now)
+    assert (got and got[:2]) == mass
+
+
+def test_who_acks_tells_a_cut_from_a_loss():
+    j = judge(*[node(f"e{n}") for n in range(4)], hold=30 * S)
+    j.on_nodes(0, {}, {"n0", "n1", "n2"})
+    j.on_sums(1, "e0", 20, 0)
+    j.on_sums(1, "e1", 20, 20)
+    assert j.mass(2) == ms.Mass(3, 4, 1, 1)
--- a/tests/test_zookeeper.py
+++ b/tests/test_zookeeper.py
@@ -330,6 +330,8 @@
     off = {name for _, name, phase in zoo.told if phase == "off"}
     assert off == set(names[:10])                    # those that drained; the others are held back
     zoo.run(2)
+    report, = zoo.reports("mass_vanishing")
+    assert report["vanished"] == 20 and report["own_session"] == "lived"
     assert {name for _, name, phase in zoo.told if phase == "off"} == set(names[:30])
     assert zoo.on() == sorted(names[30:] + [f"s:{n}" for n in range(30)])
     assert all(zoo.listed[f"s:{n}"].started is not None for n in range(30))
@@ -345,6 +347,7 @@
         member.stop()
     zoo.run(3)
     assert zoo.on() == sorted(zoo.members) and zoo.source.shown()["vanished"][0]["in_doubt"]
+    assert zoo.reports("mass_vanishing")[0]["own_session"] == "expired too"
     zoo.source.on_sums("h:9000", 20, 20)             # the data plane loses ops there: it is dead
     zoo.run(0.1)
     assert zoo.on() == ["h:9001", "h:9002"]
