--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 .venv/set-up: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
-	$(BIN)/pip install -q -e '.[program,rehearsal,test]'
+	$(BIN)/pip install -q -e '.[program,rehearsal,load,test]'
 	touch $@
 
 rehearse: setup
--- a/cedarshift/cli/main.py
+++ b/cedarshift/cli/main.py
@@ -1,20 +1,22 @@
 """`cedarshift`: the sub-commands."""
 from __future__ import annotations
 
+import json
 import sys
 from typing import Any, Optional
 
 import click
 
 from cedarshift.cli.log import make_report
-from cedarshift.deployment import Deployment, FileRefused, load
+from cedarshift.deployment import Deployment, FileRefused
+from cedarshift.deployment import load as load_deployment
 
 VERSION = "0.2.0"
 
 
 def _load(path: str) -> Deployment:
     try:
-        return load(path)
+        return load_deployment(path)
     except (OSError, FileRefused) as error:
         raise click.ClickException(str(error)) from None
 
@@ -113,7 +115,7 @@
             day = load_day(file)
             click.echo(f"{file}: rehearsal {day.name}, {len(day.faults)} faults, sound")
         else:
-            deployment = load(file)
+            deployment = load_deployment(file)
             click.echo(f"{file}: deployment {deployment.name}, {deployment.slices} slices, "
                        f"{len(deployment.pilots)} pilots, sound")
     except (OSError, FileRefused) as error:
@@ -233,6 +235,25 @@
         ctx.obj, endpoint=endpoint)))
 
 
+@main.command()
+@click.argument("file", type=click.Path())
+@click.option("--out", type=click.Path(), default="", help="The whole report with its histograms, as JSON.")
+@click.option("--quiet", is_flag=True, help="No progress.")
+def load(file: str, out: str, quiet: bool) -> None:
+    """Send the load of FILE to its targets, on time whatever is answered; 1 if the generator itself was the bottleneck."""
+    from cedarshift.load.run import as_text, play
+    from cedarshift.load.trace import TraceRefused
+    try:
+        found = play(file, lambda text: None if quiet else click.echo(text, err=True))
+    except (OSError, FileRefused, TraceRefused) as error:
+        raise click.ClickException(str(error)) from None
+    if out:
+        with open(out, "w", encoding="utf-8") as report:
+            json.dump(found, report, indent=2)
+    click.echo(as_text(found))
+    sys.exit(0 if found["certified"] else 1)
+
+
 @main.command()
 def version() -> None:
     """The version."""
