--- a/cedarshift/cli/main.py
+++ b/cedarshift/cli/main.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import json
+import os
 import sys
 from typing import Any, Optional
 
@@ -150,6 +151,34 @@
     sys.exit(0 if report["as_expected"] else 1)
 
 
+@main.command()
+@click.argument("name")
+@click.option("--seeds", default="1-20", help='Such as "1-200" or "7".')
+@click.option("--jobs", type=click.IntRange(1, 256), default=None, help="Processes; default: one a core.")
+@click.option("--out", type=click.Path(), default="", help="Folder for the seeds that break something; default: hunts/NAME.")
+@click.option("--quiet", is_flag=True, help="No progress.")
+def hunt(name: str, seeds: str, jobs: Optional[int], out: str, quiet: bool) -> None:
+    """Play many seeds of the day NAME (or a file) on a virtual clock; 1 if any breaks a rule that was to hold."""
+    from cedarshift.rehearsal import hunt as hunting
+    from cedarshift.rehearsal.day import load_day
+    first, dash, last = seeds.partition("-")
+    last = last if dash else first
+    if not first.isdecimal() or not last.isdecimal() or int(last) < int(first):
+        raise click.BadParameter(f'{seeds!r}: seeds such as "1-200" or "7" are allowed', param_hint="--seeds")
+    try:
+        day = load_day(name)
+    except (OSError, FileRefused) as error:
+        raise click.ClickException(str(error)) from None
+    found = hunting.hunt(name, list(range(int(first), int(last) + 1)), jobs or os.cpu_count() or 1,
+                         out or os.path.join("hunts", day.name), lambda text: None if quiet else click.echo(text, err=True))
+    earned = found["earned"]
+    click.echo(f"{day.name}: {found['seeds']} seeds, {len(found['bad'])} broke something; earned {earned['mean']:.4f} "
+               f"({earned['least']:.3f} with seed {found['worst_seed']} to {earned['most']:.3f})")
+    for again in found["again"]:
+        click.echo(f"  again: {again}")
+    sys.exit(1 if found["bad"] else 0)
+
+
 @main.command()
 @click.argument("dayfile", type=click.Path(exists=True))
 @click.option("--out", type=click.Path(), default="", help="Folder for records and report.")
--- a/cedarshift/rehearsal/report.py
+++ b/cedarshift/rehearsal/report.py
@@ -163,11 +163,12 @@
     return "\n".join(out)
 
 
-def write_report(report: dict[str, Any], evidence: Evidence, folder: str) -> None:
+def write_report(report: dict[str, Any], evidence: Evidence, folder: str, page: bool = True) -> None:
     with open(os.path.join(folder, "report.json"), "wb") as out:
         out.write(msgspec.json.format(msgspec.json.encode(report), indent=2))
-    with open(os.path.join(folder, "report.html"), "w", encoding="utf-8") as page:
-        page.write(_page(report, _plot(report, evidence)))
+    if page:
+        with open(os.path.join(folder, "report.html"), "w", encoding="utf-8") as html_page:
+            html_page.write(_page(report, _plot(report, evidence)))
 
 
 def _plot(report: dict[str, Any], evidence: Evidence) -> str:
--- a/cedarshift/rehearsal/run.py
+++ b/cedarshift/rehearsal/run.py
@@ -36,9 +36,10 @@
         self.ended: list[str] = []
 
 
-def play(day: Day, out: str, seed: Optional[int], say: Say, virtual: bool = False) -> dict[str, Any]:
+def play(day: Day, out: str, seed: Optional[int], say: Say, virtual: bool = False,
+         page: bool = True) -> dict[str, Any]:
     """Returns the report; it also stands as report.json and report.html in the run's folder. `virtual` plays the day in
-    this process on a virtual clock (`rehearsal/virtual.py` says what that leaves out)."""
+    this process on a virtual clock (`rehearsal/virtual.py` says what that leaves out); without `page` no page is drawn."""
     folder = out or os.path.join("rehearsals", f"{day.name}-{time.strftime('%Y%m%d-%H%M%S')}")
     os.makedirs(folder, exist_ok=True)
     if any(name.startswith("record-") for name in os.listdir(folder)):
@@ -48,7 +49,7 @@
     run(day, os.path.abspath(folder), seed, hall, say or (lambda text: None))
     evidence = Evidence(limits_of(day), read_records(folder), hall.begin, hall.end)
     report = make_report(day, evidence, hall.ended, seed=seed)
-    write_report(report, evidence, folder)
+    write_report(report, evidence, folder, page)
     return report
 
 
--- a/cedarshift/roster/ephemeral.py
+++ b/cedarshift/roster/ephemeral.py
@@ -18,6 +18,7 @@
 MASS_AGAIN = 5_000_000    # us; one report for each vanishing
 MASS_LOOK = 500_000       # us after it was noticed
 SOON = 20_000             # us; sums come in bursts, and each look goes over the whole list
+SAVE_WITHIN = 1_000_000   # us after a change
 REFUSED_SHOWN = 20        # broken nodes named in a report
 
 
@@ -53,6 +54,7 @@
         self.whole_told = False
         self.seen_at: dict[str, int] = {}    # node -> when it was last read or heard of
         self.timer: Optional[Timer] = None
+        self.saving: Optional[Timer] = None
         self.mass_at = -MASS_AGAIN
         self.expired_at: Optional[int] = None
         self.follower = Follower(loop, terms.path, terms.recursive, lambda name: is_member(name, terms.form), self._nodes,
@@ -96,6 +98,9 @@
         self.client.stop()
         if self.timer is not None:
             self.timer.cancel()
+        if self.saving is not None:
+            self.saving.cancel()
+            self._save()
 
     def on_sums(self, endpoint: str, tries: int, aborted: int) -> None:
         """What the proxies met there; it decides whether a vanished endpoint is dead."""
@@ -176,8 +181,15 @@
                     own_session="expired too" if expired else "lived")
 
     def _keep(self, got: WholeList) -> None:
+        """Nodes change one by one, and a write is the whole list with a sync: many changes make one write, a moment later."""
+        self.saved.take(got)
+        if self.saving is None:
+            self.saving = self.loop.at(self.loop.now() + SAVE_WITHIN, self._save)
+
+    def _save(self) -> None:
+        self.saving = None
         try:
-            self.saved.keep(got)
+            self.saved.write()
         except OSError as error:
             self.report("list_not_saved", reason=str(error))
 
--- a/cedarshift/roster/sources.py
+++ b/cedarshift/roster/sources.py
@@ -30,10 +30,16 @@
         self.entries: dict[str, Listed] = {}
 
     def keep(self, got: WholeList) -> None:
+        self.take(got)
+        self.write()
+
+    def take(self, got: WholeList) -> None:
         if got.kind == "replace":
             self.entries.clear()
         for one in got.endpoints:
             self.entries[one.endpoint] = one
+
+    def write(self) -> None:
         if self.path:
             kept = [Listed(e.endpoint, e.phase, e.size, e.zone, e.start) for e in self.entries.values()]
             with open(self.path + ".part", "wb") as out:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -2,10 +2,13 @@
 import os
 
 import pytest
+from click.testing import CliRunner
 
+from cedarshift.cli.main import main
 from cedarshift.loop import StreamBroken, dial, listen
 from cedarshift.loop.world import Hung, World
 from cedarshift.rehearsal.day import load_day
+from cedarshift.rehearsal.hunt import hunt
 from cedarshift.rehearsal.run import play
 from program import SECOND
 
@@ -187,3 +190,32 @@
     assert reports[0]["service"]["ops"] > 100 and reports[0]["service"]["earned_share"] > 0.5
     said = [what for _, what, _ in reports[0]["faults"]]
     assert said.count("started again") == 3
+
+
+def test_a_hunt_keeps_the_seeds_that_break_a_rule_and_tells_how_to_play_them_again(tmp_path):
+    """A day with a proxy that heeds no order breaks rules on every seed; without it none does."""
+    days = os.path.dirname(__file__) + "/../cedarshift/rehearsal/days/"
+    (tmp_path / "deployment-tiles.hcl").write_text(open(days + "deployment-tiles.hcl").read())
+    sound = DAY.split('  fault "kill_pilot"')[0]
+    deaf = """  fault "bad_proxy" {
+    at = "0s"
+    how = "deaf"
+  }
+  fault "shrink" {
+    at = "100ms"
+    drain = "4500ms"
+  }
+}
+"""
+    for name, text, broken in (("sound", sound + "}\n", 0), ("deaf", sound + deaf, 2)):
+        path, out = tmp_path / f"{name}.hcl", tmp_path / f"out-{name}"
+        path.write_text(text.replace('length = "6s"', 'length = "5s"'))
+        found = hunt(str(path), [1, 2], 2, str(out), lambda text: None)
+        assert found["seeds"] == 2 and len(found["bad"]) == broken == len(os.listdir(out)), found
+        assert len(found["again"]) == broken
+
+
+@pytest.mark.parametrize("seeds", ["", "a", "9-1", "1-", "-3"])
+def test_a_hunt_wants_its_seeds_well_formed(seeds):
+    got = CliRunner().invoke(main, ["hunt", "quiet", "--seeds", seeds])
+    assert got.exit_code == 2 and "are allowed" in got.output
--- a/tests/test_zookeeper.py
+++ b/tests/test_zookeeper.py
@@ -678,3 +678,22 @@
     zoo.ensemble.control({"drop": [0, 1, 2]})
     zoo.run(4)
     assert zoo.listed["x:1"].phase == "fading" and zoo.source.client.counts["expiries"] == 0
+
+
+def test_many_changes_are_saved_together_and_the_last_before_a_stop_too(tmp_path, monkeypatch):
+    from cedarshift.roster.sources import SavedList
+    writes = []
+    real = SavedList.write
+    monkeypatch.setattr(SavedList, "write", lambda self: writes.append(len(self.entries)) or real(self))
+    zoo = Zoo(members=1, saved=str(tmp_path / "list.json"))
+    zoo.run(2)
+    before = len(writes)
+    for n in range(50):
+        zoo.ensemble.commit([("create", f"{PATH}/x{n}", write_member(Member(f"x:{n + 1}", "on", 1.0, "z", "1"), "plain"), OPEN_ACL, 0)])
+        zoo.run(0.02)
+    zoo.run(1.5)
+    assert 1 <= len(writes) - before <= 3 and writes[-1] == 51
+    zoo.ensemble.commit([("create", f"{PATH}/y", write_member(Member("y:1", "on", 1.0, "z", "1"), "plain"), OPEN_ACL, 0)])
+    zoo.run(0.1)
+    zoo.source.stop()
+    assert writes[-1] == 52 and "y:1" in (tmp_path / "list.json").read_text()
