--- a/cedarshift/rehearsal/day.py
+++ b/cedarshift/rehearsal/day.py
@@ -114,6 +114,7 @@
 ENSEMBLE = ("expire", "expire_all", "expire_pilot", "cut_server", "lag_server")
 LISTED = ("list_unreachable", "list_wrong")
 SERVERS = 3               # of the stand-in ensemble
+LIKE_MOST = 8             # days that build on each other
 DAY = Shape({
     "deployment": (hcl.text, MUST), "length": (hcl.span(1_000_000), MUST), "seed": (hcl.whole(), 1),
     "endpoints": (hcl.whole(1, 200), MUST), "proxies": (hcl.whole(1, 200), MUST), "clients": (hcl.whole(1, 16), 2),
@@ -145,6 +146,7 @@
     with open(path, encoding="utf-8") as source:
         top = hcl.parse(source.read(), path)
     problems: list[Problem] = []
+    _build_on(top, path)
     faults = _faults(top, path, problems)
     found = hcl.check(top, FILE, path, problems)
     if problems or not found.blocks["rehearsal"]:
@@ -166,6 +168,25 @@
     return day
 
 
+def _build_on(top: hcl.Block, path: str, depth: int = 0) -> None:
+    """A day with `like` is the day of that name beside it, with its own attributes in place of that one's, and its own blocks
+    added."""
+    for block in top.blocks:
+        like = block.attributes.pop("like", None)
+        if like is None:
+            continue
+        base = os.path.join(os.path.dirname(path), f"{like.value}.hcl")
+        if depth >= LIKE_MOST or not os.path.exists(base):
+            raise FileRefused([Problem(path, like.line, f"like = {like.value!r}: there is no such day beside this one, or days build "
+                                                        "on each other in a ring")])
+        with open(base, encoding="utf-8") as source:
+            below = hcl.parse(source.read(), base)
+        _build_on(below, base, depth + 1)
+        for other in below.blocks:
+            block.attributes = {**other.attributes, **block.attributes}
+            block.blocks = other.blocks + block.blocks
+
+
 def _faults(top: hcl.Block, path: str, problems: list[Problem]) -> list[Fault]:
     """Each fault is checked against its own kind's shape; its body is then emptied for the general check."""
     faults = []
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -107,3 +107,17 @@
     assert nodes.auth == (("digest", b"p0:secret"),) and nodes.servers[1] == ("127.0.0.1", 2182) and nodes.hold == 1_000_000
     (tmp_path / "out.hcl").write_text(render(before))
     assert changes(before, load(str(tmp_path / "out.hcl"))) == ([], [])
+
+
+@pytest.mark.parametrize("like, said", [("nowhere", "no such day beside this one"), ("a", "ring")])
+def test_a_day_that_builds_on_nothing_or_on_itself_is_refused(tmp_path, like, said):
+    (tmp_path / "a.hcl").write_text(f'rehearsal "a" {{\n  like = "{like}"\n}}\n')
+    with pytest.raises(FileRefused, match=said):
+        load_day(str(tmp_path / "a.hcl"))
+
+
+def test_a_day_builds_on_another_with_its_own_attributes_and_more_blocks():
+    cold, taught, misled = (load_day(f"newcomer-{name}") for name in ("cold", "taught", "misled"))
+    assert (cold.learn, taught.learn, misled.learn) == (False, True, True) and cold.rate == misled.rate
+    assert [f.kind for f in cold.faults] == [f.kind for f in taught.faults]
+    assert sorted(f.kind for f in misled.faults) == sorted([f.kind for f in cold.faults] + ["cut_list"])
