A played world ends its own tasks and files; what both fleets share stands once

A world now ends its tasks when its run is over, records and logs are closed, and a late note is lost. Processes and hosts take paths and control calls from one class.

--- a/cedarshift/loop/world.py
+++ b/cedarshift/loop/world.py
@@ -103,6 +103,21 @@
         self.hosts: dict[Host, Optional[int]] = {}   # living hosts -> when each has something to run
         self.roused: dict[Host, None] = {}           # those that have something now, in the order they came
         self.turns = 0
+        self.graves: list[Host] = []         # ended hosts: their tasks' last clauses must not run in the middle of a run
+
+    def dispose(self) -> None:
+        """Ends what is left of all tasks, here and now: a collector would do it anywhere, in the middle of other work too."""
+        for host in [*self.hosts, *self.graves]:
+            host.end()
+            for task in list(host.loop.tasks):
+                try:
+                    task.run.close()
+                except Exception:            # a last clause that finds its world gone tells nothing
+                    pass
+            host.loop.tasks.clear()
+            host.loop.timers.clear()
+            host.loop.ready.clear()
+        self.graves.clear()
 
     def host(self, name: str, report: Optional[Callable[..., None]] = None) -> Host:
         made = Host(self, name, report)
@@ -115,7 +130,9 @@
             self.roused[host] = None
 
     def forget(self, host: Host) -> None:
-        self.hosts.pop(host, None)
+        if host in self.hosts:
+            del self.hosts[host]
+            self.graves.append(host)
         self.roused.pop(host, None)
 
     def run(self, main: Task) -> Any:
--- a/cedarshift/rehearsal/fleet.py
+++ b/cedarshift/rehearsal/fleet.py
@@ -61,17 +61,13 @@
             listener.close()
 
 
-class Fleet:
-    """Processes by name: "store", "p0", "e3", "x2", "c0", "list", "relay"."""
+class Folk:
+    """What programs have in common, be they processes or hosts of a world: a folder, addresses, and control calls."""
 
     def __init__(self, loop: Loop, folder: str) -> None:
         self.loop = loop
         self.folder = folder
-        self.running: dict[str, subprocess.Popen] = {}
-        self.leaving: dict[str, subprocess.Popen] = {}
-        self.commands: dict[str, list[str]] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
-        self.ended_early: list[str] = []
         self.pool = Pool(loop, 1_000_000)
 
     def path(self, name: str) -> str:
@@ -82,6 +78,26 @@
             out.write(content)
         return self.path(name)
 
+    def ask(self, name: str, target: str, order: Optional[dict[str, Any]] = None) -> Coroutine:
+        """A control call; None where the process does not answer."""
+        try:
+            reply = yield from self.pool.ask(self.addresses[name], "GET" if order is None else "POST", target, [],
+                                             b"" if order is None else msgspec.json.encode(order),
+                                             self.loop.now() + 1_000_000)
+            return reply
+        except (StreamBroken, TimedOut):
+            return None
+
+
+class Fleet(Folk):
+    """Processes by name: "store", "p0", "e3", "x2", "c0", "list", "relay"."""
+
+    def __init__(self, loop: Loop, folder: str) -> None:
+        super().__init__(loop, folder)
+        self.running: dict[str, subprocess.Popen] = {}
+        self.leaving: dict[str, subprocess.Popen] = {}
+        self.commands: dict[str, list[str]] = {}
+
     # ---- processes
 
     def standin(self, name: str, kind: str, plan: msgspec.Struct, address: Optional[tuple[str, int]]) -> None:
@@ -162,16 +178,6 @@
                             raise TimeoutError(f"{name} does not start: {log.read()[-600:]}") from None
                     yield from self.loop.sleep(20_000)
 
-    def ask(self, name: str, target: str, order: Optional[dict[str, Any]] = None) -> Coroutine:
-        """A control call; None where the process does not answer."""
-        try:
-            reply = yield from self.pool.ask(self.addresses[name], "GET" if order is None else "POST", target, [],
-                                             b"" if order is None else msgspec.json.encode(order),
-                                             self.loop.now() + 1_000_000)
-            return reply
-        except (StreamBroken, TimedOut):
-            return None
-
 
 class TakesPorts(Protocol):
     def take(self) -> tuple[str, int]: ...
--- a/cedarshift/rehearsal/run.py
+++ b/cedarshift/rehearsal/run.py
@@ -72,6 +72,8 @@
         world.run(loop.spawn(_day(stage, day, hall, say), "day"))
     finally:
         stage.fleet.stop_all()
+        stage.recorder.close()
+        world.dispose()
 
 
 def _interrupted(number: int, frame: object) -> None:
--- a/cedarshift/rehearsal/virtual.py
+++ b/cedarshift/rehearsal/virtual.py
@@ -16,16 +16,16 @@
 
 from cedarshift.codec import Badge
 from cedarshift.deployment import Deployment, load
-from cedarshift.loop import Loop, StreamBroken, TimedOut, listen
+from cedarshift.loop import Loop, listen
 from cedarshift.loop.core import Coroutine
 from cedarshift.loop.world import Host, World
 from cedarshift.pilot import PilotService
 from cedarshift.pilot.admin import admin_page
+from cedarshift.rehearsal.fleet import HOST, Folk
 from cedarshift.store.ledger import MemoryLedger
 from cedarshift.store.service import StoreService
-from cedarshift.web import Pool, serve_http
+from cedarshift.web import serve_http
 
-HOST = "127.0.0.1"
 FIRST_PORT = 20_000
 LAST_WORDS = 300_000      # us for the last frames to leave after a stop, as in the real program
 START = (120_000, 400_000)   # us that a program takes to come up: the least, and a spread; an interpreter takes that
@@ -43,31 +43,21 @@
         pass
 
 
-class VirtualFleet:
+class VirtualFleet(Folk):
     """As `fleet.Fleet`, name by name; `loop` is that of the host on which the rehearsal itself runs."""
 
     def __init__(self, world: World, loop: Loop, folder: str, seed: int) -> None:
+        super().__init__(loop, folder)
         self.world = world
-        self.loop = loop
-        self.folder = folder
         self.seed = seed
         self.chance = random.Random(f"fleet {seed}")
         self.running: dict[str, Host] = {}
         self.leaving: dict[str, Host] = {}
         self.services: dict[str, Any] = {}   # what runs on each host, for tests that look inside
         self.commands: dict[str, tuple[str, list[str], bytes]] = {}
-        self.addresses: dict[str, tuple[str, int]] = {}
+        self.logs: dict[str, int] = {}
         self.starts: dict[str, int] = {}
         self.ledgers: dict[str, MemoryLedger] = {}   # a disk outlives the program
-        self.pool = Pool(loop, 1_000_000)
-
-    def path(self, name: str) -> str:
-        return os.path.join(self.folder, name)
-
-    def write(self, name: str, content: bytes) -> str:
-        with open(self.path(name), "wb") as out:
-            out.write(content)
-        return self.path(name)
 
     # ---- programs
 
@@ -90,14 +80,17 @@
         host.loop.at(self.loop.now() + least + self.chance.randrange(spread), self._begin, name, host)
 
     def _reporter(self, name: str) -> Any:
-        log = os.open(self.path(f"log-{name}.txt"), os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
+        if name not in self.logs:
+            self.logs[name] = os.open(self.path(f"log-{name}.txt"), os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
 
         def report(event: str, **fields: Any) -> None:
             told = {"at_us": self.loop.now(), "event": event, **fields}
-            os.write(log, msgspec.json.encode(told, enc_hook=str) + b"\n")
+            if name in self.logs:
+                os.write(self.logs[name], msgspec.json.encode(told, enc_hook=str) + b"\n")
         return report
 
     def _begin(self, name: str, host: Host) -> None:
+        self._put_away(name)
         what, arguments, plan = self.commands[name]
         if what == "standin":
             module = importlib.import_module(f"cedarshift.standins.{arguments[0]}")
@@ -169,9 +162,20 @@
             del self.running[name]
         return [f"{name} (exit 0)" for name in gone]
 
+    def _put_away(self, name: str) -> None:
+        """The record of a life that is over: a hunt plays many days in one process, and files must not stay open."""
+        recorder = getattr(self.services.pop(name, None), "recorder", None)
+        if recorder is not None:
+            recorder.close()
+
     def stop_all(self) -> None:
         for host in [*self.running.values(), *self.leaving.values()]:
             host.end()
+        for name in list(self.services):
+            self._put_away(name)
+        for log in self.logs.values():
+            os.close(log)
+        self.logs.clear()
         self.running.clear()
         self.leaving.clear()
 
@@ -183,15 +187,5 @@
             while self.addresses[name] not in self.world.network.doors:
                 yield from self.loop.sleep(20_000)
 
-    def ask(self, name: str, target: str, order: Optional[dict[str, Any]] = None) -> Coroutine:
-        """A control call; None where the program does not answer."""
-        try:
-            reply = yield from self.pool.ask(self.addresses[name], "GET" if order is None else "POST", target, [],
-                                             b"" if order is None else msgspec.json.encode(order),
-                                             self.loop.now() + 1_000_000)
-            return reply
-        except (StreamBroken, TimedOut):
-            return None
-
 
 __all__ = ["VirtualFleet", "VirtualPorts"]
--- a/cedarshift/standins/ensemble.py
+++ b/cedarshift/standins/ensemble.py
@@ -25,6 +25,7 @@
 from cedarshift.codec.zookeeper.session import Request, ServerSession
 from cedarshift.loop import Loop, Stream, StreamBroken, TimedOut, listen
 from cedarshift.loop.core import Coroutine
+from cedarshift.roster.formats import NodeRefused, read_member
 from cedarshift.standins.record import Recorder
 from cedarshift.web import Answer, Asked, serve_http
 
@@ -489,7 +490,7 @@
         """(zxid, answer). Raises ZooError."""
         if op == r.MULTI:
             return self._multi(connection, body)
-        change, answer = self._sound(connection, op, body, self.tree, {})
+        change, answer = self._sound(connection, op, body, self.tree)
         zxid = self.commit([change] if change else [])
         return zxid, self._answer_of(op, answer)
 
@@ -505,7 +506,7 @@
         trial, changes, paths = _copied(self.tree, [getattr(one, "path", "") for _, one in body.ops]), [], []
         for n, (op, one) in enumerate(body.ops):
             try:
-                change, path = self._sound(connection, op, one, trial, {})
+                change, path = self._sound(connection, op, one, trial)
                 if change:
                     trial.apply(self.zxid + 1, self.loop.now() // 1000, [change])
                     changes.append(change)
@@ -518,7 +519,7 @@
         zxid = self.commit(changes)
         return zxid, r.MultiReply([(op, self._answer_of(op, path), 0) for (op, _), path in zip(body.ops, paths)])
 
-    def _sound(self, connection: Connection, op: int, body: Any, tree: Tree, _: dict) -> tuple[Optional[tuple], str]:
+    def _sound(self, connection: Connection, op: int, body: Any, tree: Tree) -> tuple[Optional[tuple], str]:
         """(the change, its path) of one operation that may be done."""
         if op in (r.CREATE_CONTAINER, r.CREATE_TTL) or (op in (r.CREATE, r.CREATE2) and body.flags not in range(4)):
             raise ZooError(Code.UNIMPLEMENTED)
@@ -600,7 +601,6 @@
         name = self._member(path)
         if not name or connection.live is None:
             return
-        from cedarshift.roster.formats import NodeRefused, read_member
         try:
             member = read_member(data, self.plan.form)
         except NodeRefused:
--- a/cedarshift/standins/record.py
+++ b/cedarshift/standins/record.py
@@ -19,4 +19,10 @@
         self.out = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
 
     def note(self, what: str, *details: Any) -> None:
-        os.write(self.out, ENCODER.encode([self.loop.now(), what, *details]) + b"\n")
+        if self.out >= 0:
+            os.write(self.out, ENCODER.encode([self.loop.now(), what, *details]) + b"\n")
+
+    def close(self) -> None:
+        """For runs with many lives in one process; what is noted after it is of a life that is over, and lost."""
+        os.close(self.out)
+        self.out = -1
--- a/tests/test_ensemble_outside.py
+++ b/tests/test_ensemble_outside.py
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import sys
+import time
 import urllib.request
 
 import pytest
@@ -37,8 +38,7 @@
             order()
             break
         except OSError:
-            process.poll()
-            __import__("time").sleep(0.05)
+            time.sleep(0.05)
     yield ",".join(f"{host}:{port}" for host, port in places), order
     process.kill()
     process.wait()
@@ -94,8 +94,7 @@
             await client.delete("/m")
         with pytest.raises(exc.NoChildrenForEphemerals):
             await client.create("/m/a/b", b"")
-        acl, _ = await client.get_acl("/m/a"), None
-        assert acl
+        assert await client.get_acl("/m/a")
         await client.delete("/m/a")
         assert not await client.exists("/m/a")
         await client.close()
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -9,6 +9,7 @@
 
 import polars as pl
 import pytest
+import zstandard
 from click.testing import CliRunner
 
 from cedarshift.cli.main import main
@@ -204,14 +205,15 @@
 def csv(tmp_path, rows, head="time,op_type,key", name="t.csv"):
     text = "\n".join([head, *rows]) + "\n"
     path = tmp_path / name
-    path.write_bytes(gzip.compress(text.encode()) if name.endswith(".gz") else text.encode())
+    pack = {"gz": gzip.compress, "zst": zstandard.ZstdCompressor().compress}.get(name.rpartition(".")[2], bytes)
+    path.write_bytes(pack(text.encode()))
     return str(path)
 
 
 SOUND = ["10,get,a", "10.5,put,b", "12,get,c"]
 
 
-@pytest.mark.parametrize("name", ["t.csv", "t.csv.gz"])
+@pytest.mark.parametrize("name", ["t.csv", "t.csv.gz", "t.csv.zst"])
 def test_a_sound_trace(tmp_path, name):
     got = tr.read(csv(tmp_path, SOUND, name=name), tr.TraceTerms())
     assert [(row.at, row.op_type, row.key) for row in got.rows] == [(0, "get", "a"), (500_000, "put", "b"), (2_000_000, "get", "c")]
--- a/tests/test_roster_pilot.py
+++ b/tests/test_roster_pilot.py
@@ -142,3 +142,13 @@
     text = shown_members(msgspec.json.encode(town.fleet.pilots["p0"].members()))
     assert "connected for" in text and "b:1" in text and "recursive watch" in text
     assert "held back: a:1" in text and "odd: it is no JSON" in text and "shut: " in text
+
+
+def test_a_reload_takes_another_path_over(tmp_path):
+    town = Town(tmp_path)
+    path = tmp_path / "trial.hcl"
+    path.write_text(path.read_text().replace(f'path = "{PATH}"', 'path = "/svc/other"'))
+    pilot = town.fleet.pilots["p0"]
+    pilot.reload(load(str(path)))
+    town.run(3)
+    assert pilot.members()["source"] == "zookeeper:/svc/other" and not [e for e in pilot.listed.values() if e.phase == "on"]
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -184,9 +184,13 @@
     (tmp_path / "deployment-tiles.hcl").write_text(open(days + "deployment-tiles.hcl").read())
     (tmp_path / "small.hcl").write_text(DAY)
     day = load_day(str(tmp_path / "small.hcl"))
-    reports = [play(day, str(tmp_path / name), seed, None, virtual=True) for name, seed in (("a", 4), ("b", 4), ("c", 5))]
+    reports, files = [], []
+    for name, seed in (("a", 4), ("b", 4), ("c", 5)):
+        reports.append(play(day, str(tmp_path / name), seed, None, virtual=True))
+        files.append(len(os.listdir("/proc/self/fd")))
     assert records(tmp_path / "a") == records(tmp_path / "b") != records(tmp_path / "c")
     assert all(rule["held"] for report in reports for rule in report["rules"]) and not reports[0]["crashed"]
+    assert files[2] <= files[0]                      # a hunt plays hundreds of days in one process
     assert reports[0]["service"]["ops"] > 100 and reports[0]["service"]["earned_share"] > 0.5
     said = [what for _, what, _ in reports[0]["faults"]]
     assert said.count("started again") == 3
