--- a/cedarshift/codec/platform/reports.py
+++ b/cedarshift/codec/platform/reports.py
@@ -47,7 +47,7 @@
     number = fields.whole(message, "shard", 0, slices - 1)
     op_type = _known(message, "route", op_types)
     ops = fields.whole(message, "total", 0, COUNT_MOST)
-    unanswered = fields.whole(message, "errors", 0, ops)
+    unanswered = fields.whole(message, "errors", 0, COUNT_MOST)   # some came before the interval: maybe more than ops
     span = fields.number(message, "interval", 1, SPAN_MOST)
     return number, op_type, ops, unanswered, tenths_up(span)
 
