--- /dev/null
+++ b/tests/platform_parts.py
@@ -0,0 +1,242 @@
+"""The platform's parties as its page tells of them, scripted, on the virtual clock: a relay, a discovery, a configuration."""
+import json
+from urllib.parse import parse_qs
+
+import h11
+
+from cedarshift.codec.platform import frames
+from cedarshift.codec.platform.place import Variables, place
+from cedarshift.loop import StreamBroken, TimedOut, dial, listen
+from cedarshift.platform.service import PlatformPilot
+from program import SECOND, virtual_loop
+
+RELAY, DISCOVERY, PILOT = ("127.0.0.1", 6400), ("127.0.0.1", 8500), ("127.0.0.1", 8081)
+SETTINGS = {
+    "classes": [{"name": "get", "on_time_ns": 2_000_000_000, "deadline_ns": 6_000_000_000},
+                {"name": "put", "on_time_ns": 2_000_000_000, "deadline_ns": 3_000_000_000}],
+    "discovery": "push", "fleet_size": 1, "position": 0, "zones": ["za", "zb"],
+    "family_info": {"ranges": 4, "one_owner": True, "mutating": [False, True], "throttle_by": "fraction", "lease_ns": 800_000_000,
+                    "in_flight_max_ns": 1_000_000_000, "per_message": 16.0, "pending_max": 9500.0, "push_rate": 6300.0,
+                    "report_every_ns": 2_000_000_000, "push_delay_max_ns": 100_000_000},
+    "rules": {"drain_grace_ns": 3_000_000_000, "warm_within_ns": 15_000_000_000, "cold_from": 0.2, "fall_multiple": 3.0}}
+
+
+def instance(name, lifecycle="ready", started=0, zone="za"):
+    return {"instanceId": name, "hostPort": "127.0.0.1:1", "zone": zone, "machineType": "m", "cell": 0, "lifecycle": lifecycle,
+            "weight": 1.0, "startedAtMs": started}
+
+
+def listing(revision, *instances, reset=False):
+    return {"generation": revision, "reset": reset, "instances": list(instances)}
+
+
+def configuration(**changes):
+    return {"name": "n0", "listen": "127.0.0.1:8081", "discovery": "127.0.0.1:8500", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 0.5, "memory_mb": 64, "sockets": 256}, "registry": {"address": "127.0.0.1:6400"},
+            "known": listing(7, instance("a"), instance("b"), reset=True), "settings": SETTINGS, **changes}
+
+
+TOLD = Variables("n0", PILOT, DISCOVERY, "config.json")
+
+
+def a_place(**changes):
+    return place(TOLD, json.dumps(configuration(**changes)).encode())
+
+
+class Held(Exception):
+    """The relay's side of a connection stays open, and silent."""
+
+
+class Relay:
+    """`script`: what becomes of the next calls, "ok" when it is empty: "silent" (carried out, no answer), "lost" (not carried
+    out, reset), "spoilt" (carried out, an answer that is none), "busy", or a number of orders to take."""
+
+    def __init__(self, loop, address=RELAY):
+        self.loop, self.script, self.standing = loop, [], []
+        self.calls = []                      # (connection, orders) of each call that came
+        self.streams = []
+        self.connections = 0
+        self.door = listen(loop, address)
+        loop.spawn(self._accept(), "relay")
+
+    def stands(self, proxies=(0, 1), slices=None, zone="za"):
+        """What a stream begins with: joined proxies, slices in charge with their owners ("" for none)."""
+        owners = {0: "a", 1: "b", 2: "a", 3: "b"} if slices is None else slices
+        self.standing = [("hello", f"node={n}&locality={zone}&w=2.5&cold=0") for n in proxies]
+        for number, owner in owners.items():
+            self.standing.append(("lease", f"shard={number}&set=1"))
+            if owner:
+                self.standing.append(("line", f"shard={number}&endpoint={owner}&w=1.0"))
+
+    def say(self, event, data):
+        self._write(f"event: {event}\ndata: {data}\n\n")
+
+    def sign(self):
+        self._write(":\n\n")
+
+    def _write(self, text):
+        self.streams = [one for one in self.streams if not one[0].closed]
+        for stream, conn in self.streams:
+            stream.write(conn.send(h11.Data(data=text.encode())))
+
+    def cut(self):
+        for stream, _ in self.streams:
+            stream.close()
+        self.streams = []
+
+    def _accept(self):
+        while True:
+            stream = yield from self.door.accept()
+            self.connections += 1
+            self.loop.spawn(self._talk(stream, self.connections), "relay connection")
+
+    def _talk(self, stream, number):
+        conn = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                head, body = yield from self._request(stream, conn)
+                if head.method == b"GET":
+                    stream.write(conn.send(h11.Response(status_code=200, headers=[("content-type", "text/event-stream"),
+                                                                                  ("transfer-encoding", "chunked")])))
+                    self.streams = [(stream, conn)]
+                    for event, data in self.standing:
+                        self.say(event, data)
+                    yield from stream.read()
+                    return
+                self._answer(stream, conn, number, parse_qs(body.decode())["orders"][0].split(";"))
+                conn.start_next_cycle()
+        except (StreamBroken, TimedOut, h11.ProtocolError):
+            stream.close()
+        except Held:
+            yield from stream.read()
+
+    def _request(self, stream, conn):
+        head, body = None, b""
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                data = yield from stream.read()
+                if not data:
+                    raise StreamBroken("gone")
+                conn.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return head, body
+
+    def _answer(self, stream, conn, number, orders):
+        self.calls.append((number, orders))
+        what = self.script.pop(0) if self.script else "ok"
+        if what == "silent":
+            raise Held()
+        if what == "lost":
+            raise StreamBroken("lost")
+        taken = len(orders) if what == "ok" else what
+        text = f'<?xml version="1.0"?>\n<Response><entries><item><ok_count>{taken}</ok_count></item></entries></Response>'
+        if what == "busy":
+            text = "<Response><Errors><Error><Code>BUSY</Code></Error></Errors></Response>"
+        if what == "spoilt":
+            text = text[:40]
+        stream.write(conn.send(h11.Response(status_code=200, headers=[("content-length", str(len(text)))]))
+                     + conn.send(h11.Data(data=text.encode())) + conn.send(h11.EndOfMessage()))
+
+
+class ListAgent:
+    """A discovery: each watch gets `first`, then what `tell` is given."""
+
+    def __init__(self, loop, address=DISCOVERY):
+        self.loop, self.first, self.asked, self.streams = loop, [], [], []
+        self.door = listen(loop, address)
+        loop.spawn(self._accept(), "agent")
+
+    def tell(self, text):
+        text = text if isinstance(text, str) else json.dumps(text) + "\n"
+        for stream, conn in self.streams:
+            stream.write(conn.send(h11.Data(data=text.encode())))
+
+    def _accept(self):
+        while True:
+            stream = yield from self.door.accept()
+            self.loop.spawn(self._talk(stream), "agent connection")
+
+    def _talk(self, stream):
+        conn = h11.Connection(h11.SERVER)
+        while not isinstance(event := conn.next_event(), h11.EndOfMessage):
+            if isinstance(event, h11.Request):
+                self.asked.append(event.target.decode())
+            elif event is h11.NEED_DATA:
+                conn.receive_data((yield from stream.read()))
+        stream.write(conn.send(h11.Response(status_code=200, headers=[("transfer-encoding", "chunked")])))
+        self.streams = [(stream, conn)]
+        for one in self.first:
+            self.tell(one)
+        yield from stream.read()
+        stream.close()
+
+
+class Stage:
+    """A pilot with its relay and its discovery in one loop; `run(seconds)` lets so much time pass, with signs of life."""
+
+    def __init__(self, proxies=(0, 1), slices=None, **changes):
+        self.loop = virtual_loop()
+        self.relay = Relay(self.loop)
+        self.relay.stands(proxies, slices)
+        self.agent = ListAgent(self.loop)
+        self.place = a_place(**changes)
+        self.signs = True
+        self.pilot = PlatformPilot(self.loop, self.place, 1_700_000_000 * SECOND, listen(self.loop, PILOT),
+                                   self.loop.report)
+        self.brain = self.pilot.brain
+        self.loop.spawn(self._signs(), "signs")
+
+    def _signs(self):
+        while True:
+            yield from self.loop.sleep(SECOND // 2)
+            if self.signs:
+                self.relay.sign()
+                self.agent.tell("\n")
+
+    def run(self, seconds):
+        def wait():
+            yield from self.loop.sleep(int(seconds * SECOND))
+        self.loop.run(self.loop.spawn(wait(), "wait"))
+        return self
+
+    def do(self, coroutine):
+        return self.loop.run(self.loop.spawn(coroutine, "test"))
+
+    def heard(self, event):
+        return [fields for name, fields in self.loop.heard if name == event]
+
+    def order(self, *decisions):
+        """Has the module decide these, beside whatever it decides itself."""
+        self.brain.out.extend(decisions)
+        self.pilot._pull()
+
+    def orders(self):
+        return [one for _, orders in self.relay.calls for one in orders]
+
+
+def caller(stage, *pieces, until=10.0):
+    """Connects, sends, and returns (what came back, seconds until the end; None if none came)."""
+    def talk():
+        stream = yield from dial(stage.loop, PILOT)
+        begun = stage.loop.now()
+        for piece in pieces:
+            stream.write(piece)
+        got = b""
+        try:
+            while data := (yield from stream.read(begun + int(until * SECOND))):
+                got += data
+        except TimedOut:
+            return got, None
+        except StreamBroken:
+            pass
+        return got, (stage.loop.now() - begun) / SECOND
+    return talk()
+
+
+def frame(**message):
+    return frames.encode(message)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,314 @@
+import json
+
+import pytest
+
+from cedarshift.brain import OWNED, REVOKING, SETTLING
+from cedarshift.codec.platform.errors import Refused
+from cedarshift.loop import dial
+from cedarshift.platform.log import EVENTS_MOST, LINES_A_SPAN, SPAN, make_report
+from cedarshift.platform.start import moved, read_place
+from platform_parts import (DISCOVERY, PILOT, ListAgent, Relay, Stage, a_place, caller, configuration, frame, instance, listing)
+
+LINE, OTHER = ("line", 0, "a", 1), ("line", 1, "b", 1)
+MET = dict(t="outcomes", locality="za", endpoint="a", total=12, errors=3, rtt=41.7, interval=2000.0)
+
+
+# ---- relay calls
+
+@pytest.mark.parametrize("fate", ["silent", "lost", "spoilt"])
+def test_a_call_without_an_answer_is_made_again_before_anything_later(fate):
+    stage = Stage().run(1)
+    stage.relay.script = [fate, fate]
+    stage.order(LINE, ("mark", 9, True))
+    stage.order(OTHER)                       # decided while the call is on its way: has to wait
+    stage.run(2)
+    first = ["share,0,a,1", "mark,9,1"]
+    assert [orders for _, orders in stage.relay.calls] == [first, first, first, ["share,1,b,1"]]
+    assert len({number for number, _ in stage.relay.calls[:3]}) == 3     # each repeat on a new connection
+
+
+def test_an_order_not_taken_is_left_out_and_the_rest_goes_on():
+    stage = Stage().run(1)
+    stage.relay.script = [1]
+    stage.order(LINE, ("line", 1, "never-listed", 1), ("line", 2, "b", 1), ("mark", 9, True))
+    stage.run(0.3)
+    assert [orders for _, orders in stage.relay.calls[:2]] == [
+        ["share,0,a,1", "share,1,never-listed,1", "share,2,b,1", "mark,9,1"], ["share,2,b,1", "mark,9,1"]]
+    assert stage.heard("order_refused")[0]["order"] == "share,1,never-listed,1"
+    assert stage.brain.slices[1].owner == "b" == stage.pilot.slices[1]   # the module has what the store has
+
+
+def test_a_busy_relay_is_waited_for_without_spinning():
+    stage = Stage().run(1)
+    stage.relay.script = ["busy"] * 10
+    stage.order(LINE)
+    stage.run(3)
+    assert len(stage.relay.calls) == 11
+    assert stage.relay.connections < 5
+
+
+def test_orders_of_a_slice_that_left_the_charge_are_not_made_again():
+    stage = Stage().run(1)
+    stage.relay.script = ["silent"]
+    stage.order(("line", 0, "b", 1), OTHER, ("mark", 9, True))
+    stage.run(0.05)
+    stage.relay.say("lease", "shard=0&set=0")
+    stage.relay.say("lease", "shard=0&set=1")
+    stage.relay.say("line", "shard=0&endpoint=a&w=1.0")
+    stage.run(1)
+    assert [orders for _, orders in stage.relay.calls[:2]] == [["share,0,b,1", "share,1,b,1", "mark,9,1"],
+                                                               ["share,1,b,1", "mark,9,1"]]
+    assert stage.brain.slices[0].owner == "a"
+
+
+def test_an_ack_counts_from_the_decision_however_late_the_call_was_taken():
+    stage = Stage().run(1)
+    stage.relay.script = ["lost", "lost"]
+    stage.brain.turns.append([9, stage.pilot._now(), 0, 0])
+    decided = stage.pilot._now()
+    stage.order(("mark", 9, True))
+    stage.run(0.5)
+    taken = stage.pilot.marks[9][1] // 100 + stage.pilot.wall // 100
+    assert taken - decided >= 90             # the repeats took a while
+    stage.relay.say("ack", "node=0&nonce=9&latency=5.0")
+    stage.run(0.05)
+    assert stage.brain.proxies[0].acked_at >= taken + 50
+
+
+@pytest.mark.parametrize("ack", ["node=0&nonce=77&latency=1", "node=9&nonce=9&latency=1", "node=0&nonce=9&latency=-1",
+                                 "node=0&nonce=9&latency=inf", "node=0&nonce=9"])
+def test_an_ack_that_can_t_be_right_is_not_believed(ack):
+    stage = Stage().run(1)
+    stage.order(("mark", 9, True))
+    stage.run(0.1)
+    stage.relay.say("ack", ack)
+    stage.run(0.1)
+    assert [p.acked for p in stage.brain.proxies.values()] == [None, None]
+
+
+def test_a_fault_of_the_module_is_told_and_its_beat_goes_on(monkeypatch):
+    stage = Stage().run(1)
+    monkeypatch.setattr(stage.brain, "_turn", lambda now: 1 // 0)
+    stage.run(1)
+    assert "ZeroDivisionError" in stage.heard("module_failed")[0]["error"]
+    monkeypatch.undo()
+    beats = stage.brain.beat
+    stage.run(1)
+    assert stage.brain.beat > beats + 10
+
+
+# ---- news
+
+def test_what_stands_is_heard_once_it_has_all_come():
+    stage = Stage(proxies=range(5)).run(0.2)
+    assert sorted(stage.brain.proxies) == [0, 1, 2, 3, 4]
+    assert [(s.state, s.owner) for _, s in sorted(stage.brain.slices.items())] == [(OWNED, e) for e in "abab"]
+
+
+def test_a_line_after_its_giving_is_the_pilot_s_own_and_ends_no_hand_over():
+    stage = Stage().run(1)
+    stage.brain.slices[0].state = REVOKING
+    stage.relay.say("line", "shard=0&endpoint=a&w=1.0")
+    stage.run(0.01)
+    assert stage.brain.slices[0].state == REVOKING
+
+
+@pytest.mark.parametrize("how", ["cut", "silent"])
+def test_news_that_ends_or_falls_silent_is_asked_for_anew_and_reconciled(how):
+    stage = Stage(proxies=(0, 1, 2)).run(1)
+    stage.relay.stands((1, 2, 3), {1: "b", 2: "b", 3: "b"})
+    before = {n: s for n, s in stage.brain.slices.items()}
+    if how == "cut":
+        stage.relay.cut()
+    else:
+        stage.signs = False
+    stage.run(4)
+    assert stage.pilot.news.counts["streams"] >= 2
+    assert {n for n, p in stage.brain.proxies.items() if p.joined} == {1, 2, 3}
+    assert sorted(stage.brain.slices) == [1, 2, 3]
+    assert stage.brain.slices[1] is before[1]            # it stayed: not given anew
+    assert stage.brain.slices[2] is not before[2] and stage.brain.slices[2].owner == "b"   # another pilot moved it
+
+
+def test_acks_of_before_a_gap_are_asked_for_again():
+    stage = Stage().run(1)
+    stage.order(("mark", 9, True))
+    stage.run(0.1)
+    stage.relay.say("ack", "node=0&nonce=9&latency=1")
+    stage.run(0.1)
+    assert stage.brain.proxies[0].acked == 9
+    stage.relay.cut()
+    stage.run(0.3)
+    assert stage.brain.proxies[0].acked is None and stage.brain.newcomers
+
+
+@pytest.mark.parametrize("gap, state", [(0.2, REVOKING), (1.5, OWNED)])
+def test_a_hand_over_goes_on_over_a_short_gap_and_is_undone_after_one_in_which_the_slice_may_have_been_away(gap, state):
+    stage = Stage(proxies=(0, 1)).run(1)
+    s = stage.brain.slices[0]
+    stage.order(("level", 0, 2, 0, 0))
+    s.state, s.closed, s.mark, s.since = REVOKING, True, 9, stage.pilot._now()
+    stage.brain.endpoints["a"].phase = "fading"          # so that the module does not undo it by itself
+    stage.brain.weighed_at = stage.pilot._now() + 10**9
+    stage.run(0.1)
+    assert stage.pilot.closed[0] == "admit,0,put,1,0"
+    stage.relay.door.close()
+    stage.relay.cut()
+    stage.run(gap)
+    stage.relay = Relay(stage.loop)
+    stage.relay.stands()
+    orders_before = len(stage.orders())
+    seen = []
+    for _ in range(60):
+        stage.run(0.02)
+        if len(stage.heard("standing")) == 2 and not seen:
+            seen = [stage.brain.slices[0] is s]
+    assert seen[0] == (state == REVOKING)
+    assert ("admit,0,put,1,0" in stage.orders()[orders_before:]) == (state == OWNED)
+
+
+@pytest.mark.parametrize("bad", ["event: ack\ndata: node=x\n\n", "event: new\ndata: a=b\n\n", "data\n\n"])
+def test_a_piece_of_news_that_can_t_be_used_is_passed_over_alone(bad):
+    stage = Stage().run(1)
+    stage.relay._write(bad)
+    stage.relay.say("bye", "node=1")
+    stage.run(0.1)
+    assert not stage.brain.proxies[1].joined and stage.pilot.news.counts["streams"] == 1
+
+
+# ---- discovery
+
+def test_a_watch_begins_at_the_known_revision_and_follows_changes():
+    stage = Stage().run(1)
+    assert stage.agent.asked == ["/registry/instances?stream=1&index=7"]
+    stage.agent.tell(listing(8, instance("a", "draining"), instance("c", started=1_700_000_000_500)))
+    stage.run(0.1)
+    known = stage.brain.endpoints
+    assert (known["a"].phase, known["b"].phase, known["c"].started) == ("fading", "on", 17_000_000_005_000)
+    stage.agent.tell(listing(9, instance("c", started=1_700_000_000_500), reset=True))
+    stage.run(0.1)
+    assert (known["b"].phase, known["c"].phase) == ("off", "on")
+
+
+@pytest.mark.parametrize("bad", ["{not json\n", '{"generation": 9}\n', None])
+def test_a_watch_that_can_t_be_read_or_falls_silent_begins_anew_where_it_was(bad):
+    stage = Stage().run(1)
+    stage.agent.tell(listing(8, instance("c")))
+    stage.run(0.1)
+    if bad is None:
+        stage.signs = False
+    else:
+        stage.agent.tell(bad)
+    stage.run(6)
+    assert stage.agent.asked[1] == "/registry/instances?stream=1&index=8"
+    assert stage.brain.endpoints["c"].phase == "on"      # unreachable is not empty
+
+
+def test_a_start_told_twice_is_one_start():
+    stage = Stage().run(1)
+    for revision in (8, 9):
+        stage.agent.tell(listing(revision, instance("a", started=1_700_000_000_123)))
+        stage.run(1.37)
+        stage.brain.endpoints["a"].samples.append((0, 1, 0, 1, 1, "za"))
+    stage.agent.tell(listing(10, instance("a", started=1_700_000_000_123)))
+    stage.run(0.1)
+    assert len(stage.brain.endpoints["a"].samples) == 2  # no restart was seen: what it did still counts
+
+
+# ---- the pilot's address
+
+@pytest.mark.parametrize("sent", [
+    (), (b"\0",), (b"\0\0\0\x10{\"t\":",), (b"\xff\xff\xff\xff",), (b"\0\x10\0\1" + b"x" * 100,), (b"\0\0\0\0",),
+    (b"GET / HTTP/1.1\r\nHost: a\r\n\r\n",), (b"POST /api/ HTTP/1.1\r\n\r\n",), (b"\0\0\0\x03abc",), (frame(t="agent", locality="nowhere"),),
+    (frame(t="agent"),), (frame(**MET),), (frame(t="hello", node=99_999),), (frame(t="share"),), (frame(u=1),), (frame(t="probe"),)])
+def test_whoever_is_no_collector_is_sent_away_in_time(sent):
+    stage = Stage().run(1)
+    got, after = stage.do(caller(stage, *sent))
+    assert after is not None and after < 2
+    assert not stage.pilot.collectors.unjoined and not stage.heard("task_failed")
+
+
+def test_a_sign_of_life_is_given_on_any_connection():
+    stage = Stage().run(1)
+    alive = frame(t="alive")
+    assert stage.do(caller(stage, frame(t="probe"), frame(t="probe")))[0] == alive * 2
+    assert stage.do(caller(stage, frame(t="agent", locality="za"), frame(t="probe"), until=2))[0] == alive
+
+
+def test_a_collector_s_spoilt_report_is_dropped_alone_and_nothing_is_written_to_it():
+    stage = Stage().run(1)
+    sent = [frame(t="agent", locality="za"), frame(**MET), frame(**{**MET, "total": "x"}), frame(t="news"), frame(**MET)]
+    assert stage.do(caller(stage, *sent, until=3)) == (b"", None)
+    assert len(stage.brain.endpoints["a"].samples) == 2 and stage.pilot.collectors.counts["spoilt"] == 2
+
+
+@pytest.mark.parametrize("bad", [b"\0\0\0\x03abc", b"\xff\xff\xff\xff", b"\0\0\1\0{"])
+def test_a_collector_that_goes_on_with_what_can_t_be_read_is_left_and_another_may_come(bad):
+    stage = Stage().run(1)
+    assert stage.do(caller(stage, frame(t="agent", locality="za"), bad))[1] < 6
+    stage.do(caller(stage, frame(t="agent", locality="za"), frame(**MET), until=1))
+    assert len(stage.brain.endpoints["a"].samples) == 1
+
+
+def test_hundreds_that_say_nothing_leave_room_for_a_collector():
+    stage = Stage().run(1)
+
+    def flood():
+        streams = []
+        for _ in range(400):
+            streams.append((yield from dial(stage.loop, PILOT)))
+        got = yield from caller(stage, frame(t="agent", locality="za"), frame(**MET), until=0.3)
+        held = len(stage.pilot.collectors.unjoined)
+        return got, held, streams
+    got, held, streams = stage.do(flood())
+    assert got == (b"", None) and len(stage.brain.endpoints["a"].samples) == 1
+    assert held <= 256 // 4 and stage.pilot.collectors.counts["evicted"] >= 400 - held
+
+
+# ---- configuration and log
+
+def test_new_addresses_are_used_and_an_unanswered_call_goes_on_there():
+    stage = Stage().run(1)
+    stage.relay.script = ["silent"]
+    stage.order(LINE, ("mark", 9, True))
+    stage.run(0.01)
+    there, agent = Relay(stage.loop, ("127.0.0.1", 6401)), ListAgent(stage.loop, ("127.0.0.1", 8501))
+    there.stands()
+    new = a_place(registry={"address": "127.0.0.1:6401"}, discovery="127.0.0.1:8501")
+    reads = [Refused("half written"), Refused("half written"), new]
+
+    def read():
+        one = reads.pop(0)
+        if isinstance(one, Refused):
+            raise one
+        return one
+    stage.do(moved(stage.loop, read, stage.pilot, stage.loop.report))
+    stage.run(1)
+    assert len(stage.heard("reload_refused")) == 2
+    assert [orders for _, orders in there.calls] == [["share,0,a,1", "mark,9,1"]]
+    assert there.streams and agent.asked == ["/registry/instances?stream=1&index=7"]
+    assert stage.brain.slices[0].state == OWNED and len(stage.heard("standing")) == 2
+
+
+def test_a_configuration_is_read_from_its_file(tmp_path):
+    told = a_place()
+    path = tmp_path / "config.json"
+    variables = type("V", (), {"name": "n0", "listen": PILOT, "discovery": DISCOVERY, "config": str(path)})
+    with pytest.raises(Refused, match="config.json: No such file"):
+        read_place(variables)
+    path.write_text(json.dumps(configuration()))
+    assert read_place(variables) == told
+
+
+def test_log_lines_are_limited_in_rate_and_tell_what_was_held_back():
+    lines = []
+    clock = type("Clock", (), {"time": 0, "now": lambda self: self.time})()
+    report = make_report(clock, "n0", lines.append)
+    for _ in range(1000):
+        report("spoilt", reason="x")
+    clock.time = SPAN
+    report("spoilt", reason="y")
+    for number in range(10 * EVENTS_MOST):
+        report(f"event {number}")
+    assert [json.loads(line)["event"] for line in lines].count("spoilt") == LINES_A_SPAN + 1
+    assert json.loads(lines[LINES_A_SPAN])["held_back"] == 1000 - LINES_A_SPAN
