--- a/cedarshift/platform/service.py
+++ b/cedarshift/platform/service.py
@@ -25,6 +25,7 @@
 UNIT = 100                # us in a tenth of a millisecond, the module's unit
 MARKS_KEPT = 512          # marks whose acks may still come; a turn each
 AFTER_FAULT = 50_000      # us; a fault of the module must not end its beat, nor spin
+TURN_SHOWN = 400          # characters of a turn's orders in its log line
 AWAY_LEAST = 700_000      # us; silent for less, a slice can't have been another pilot's: the store waits longer than that
 
 
@@ -66,6 +67,8 @@
 
     def on_list(self, listed: Listed) -> None:
         self.brain.on_list(self._now(), "replace" if listed.whole else "update", listed.entries)
+        self.report("list", revision=listed.revision, whole=listed.whole, entries=len(listed.entries),
+                    texts=";".join(f"{one.endpoint}:{one.phase}" for one in listed.entries)[:TURN_SHOWN])
         self._pull()
 
     def on_report(self, message: dict[str, Any]) -> None:
@@ -195,6 +198,7 @@
 
     def _order(self, turn: Turn) -> None:
         self.counts["turns"] += 1
+        self.report("turn", orders=len(turn.left), texts=";".join(one.text for one in turn.left)[:TURN_SHOWN])
         for mark in turn.marks:
             self.marks.pop(mark, None)
             self.marks[mark] = (turn.at, None)
