A proxy that was away for a lease and reads the revoke as it joins is not awaited

Cause: _stopped took no notice of how long a proxy had been away, and a new stream forgot its acks. The mechanism's own lease end counts now where the store surely held the revoke before the proxy read it; acks of before a broken stream still count. Excluded: one that came within a lease, before the revoke, or before anyone's ack is awaited as ever.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -52,6 +52,7 @@
 ASK_AGAIN = 10_000        # 0.1 ms; first wait after a failed list call, doubled up to a quarter of the bound
 RENEW = 8                 # longest waits after which a subscription that seems sound is asked for again
 ALL_TABLES = 65535        # the table number that stands for all
+ACKS_KEPT = 6_000_000     # 0.1 ms; a proxy away for longer acked marks that the ring may have passed
 MARKS = 65536             # marks are numbered in a ring of this size
 
 OWNED, REVOKING, SETTLING, EMPTY = "owned", "revoking", "settling", "empty"
@@ -82,10 +83,15 @@
 
 
 class Proxy:
-    def __init__(self, zone: str) -> None:
-        self.zone, self.joined, self.left_at = zone, True, 0
-        self.acked: Optional[int] = None     # newest mark acked since it joined
-        self.acked_at = 0                    # when that mark took effect there
+    """A joined proxy, or one that has left. What it acked in an earlier stream still holds: it reads the store as it
+    joins, so it never goes back behind that."""
+
+    def __init__(self, zone: str, now: int, old: Optional[Proxy], read: Optional[int]) -> None:
+        self.zone, self.joined, self.left_at, self.joined_at = zone, True, 0, now
+        self.acked = old.acked if old else None   # newest mark acked
+        self.acked_at = old.acked_at if old else 0   # when that mark took effect there
+        self.away_from = 0 if not old else now if old.joined else old.left_at
+        self.read = read                     # newest mark that the store surely held when it joined
         self.table: Optional[int] = None     # the table that it was put on, at sites without slices
 
 
@@ -139,7 +145,8 @@
         self.mark = Lcg(terms.seed).draw(MARKS)   # the first one by chance: no mark of a life before
         self.turns: deque = deque()          # [mark, ordered at, lines, a proxy's] not known to have left
         self.sent_at = -math.inf             # when the last turn went out
-        self.newcomers = False               # proxies joined since then: no mark has reached them
+        self.newcomers: set[int] = set()     # proxies joined since then: no mark has reached them
+        self.newest: Optional[int] = None    # newest mark that anyone acked: the store holds all up to it
         self.channel_free = 0.0              # when all that was ordered has left, at the stated pace
         self.beat = 0                        # nonce of the alarm that counts
         self.ask_at, self.ask_wait = 0, ASK_AGAIN
@@ -175,7 +182,11 @@
                     self._set_phase(known, "off", now)
 
     def on_join(self, now: int, proxy: int, zone: str) -> None:
-        self.proxies[proxy], self.newcomers = Proxy(zone), True
+        old = self.proxies.get(proxy)
+        if old and not old.joined and now - old.left_at > ACKS_KEPT:
+            old.acked = None
+        self.proxies[proxy] = Proxy(zone, now, old, self.newest)
+        self.newcomers.add(proxy)
 
     def on_leave(self, now: int, proxy: int) -> None:
         if proxy in self.proxies:
@@ -202,6 +213,7 @@
         p = self.proxies.get(proxy)
         if p and p.joined and (p.acked is None or not self._older(mark, p.acked)):
             p.acked = mark
+            self.newest = mark if self.newest is None or self._older(self.newest, mark) else self.newest
             turn = next((t for t in self.turns if t[0] == mark), None)
             p.acked_at = min(now, turn[1] + took) if turn else now   # it took effect before it was heard
             if turn:
@@ -417,14 +429,22 @@
         one may go on. One never joined since the slice came here can hold it no longer than a lease."""
         ends = [s.since, s.given_at + self.lease]
         for p in self.proxies.values():
-            if not p.joined:
-                ends.append(p.left_at + self.lease)
-            elif s.mark is not None:
-                if p.acked is None or self._older(p.acked, s.mark):
+            if s.mark is not None or not p.joined:
+                if (end := self._stop(p, s)) is None:
                     return None
-                ends.append(p.acked_at)
+                ends.append(end)
         return max(ends) if max(ends) <= now else None
 
+    def _stop(self, p: Proxy, s: Slice) -> Optional[int]:
+        """When one proxy stopped. One that was away for a lease sends nothing until it has read the store, and that
+        held the revoke if its mark was acked by anyone before."""
+        if not p.joined:
+            return p.left_at + self.lease
+        away = max(p.away_from, s.given_at) + self.lease
+        if p.joined_at >= max(away, s.since) and p.read is not None and not self._older(p.read, s.mark):
+            return away
+        return p.acked_at if p.acked is not None and not self._older(p.acked, s.mark) else None
+
     # ---- the slice's state machine: each step gives its lines
 
     def _revoke(self, s: Slice, now: int, target: Optional[str], at_once: bool = False) -> list[tuple]:
@@ -569,7 +589,8 @@
         due = self._due(now)
         if now - self.sent_at >= 2 * self.even:   # so that a drain seldom meets a turn just gone
             due += self._check(now)
-        unmarked = self.newcomers and REVOKING in {s.state for s in self.slices.values()}
+        revoked = [s for s in self.slices.values() if s.state == REVOKING and s.mark is not None]
+        unmarked = any(self._stop(self.proxies[n], s) is None for n in self.newcomers for s in revoked)
         if self.can_level and self.slices and abs(self.level - self.level_sent) >= LEVEL_STEP / 2:
             due.append((3, -1, "level", None))
         if not (due or unmarked):
@@ -588,7 +609,8 @@
             each = self.head + len(lines) - 1
             self.turns.append([self.mark, now, joined * each, each])
             self.channel_free = max(now, self.channel_free) + joined * each * self.per_line
-            self.sent_at, self.newcomers = now, False
+            self.sent_at = now
+            self.newcomers.clear()
 
     def _step(self, step: str, s: Optional[Slice], name: Optional[str], now: int) -> list[tuple]:
         if step == "level":
