Turns gather what is due while a slow channel drains; marks alone need room in it

Wrong: a mark for newcomers asked for no room at all, and a turn went as soon as one line fitted, so that heads filled the channel; a second ack of a repeated turn freed lines twice; marks that were never sent used up the ring.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -46,6 +46,8 @@
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
 ROOM = (0.95, 0.9, 0.6, 0.5)   # shares of the channel's waiting lines used, by urgency: a drain finds room
+GATHER = 0.15             # share of the channel that may still wait when a turn goes that holds less than what is due
+ACKS_PAUSE = 5_000        # 0.1 ms; with no ack for so long nothing tells that the channel drains
 TURN_HEADS = 1.25         # times what a turn's heads hold the channel between turns: heads fill four fifths at most
 LEVEL_STEP = 0.05         # added to the level a check; full again within some ten checks
 LEVEL_SHARE = 0.85        # what is left of the level after a check under overload
@@ -148,6 +150,7 @@
         self.turns: deque = deque()          # [mark, ordered at, lines, a proxy's] not known to have left
         self.sent_at = -math.inf             # when the last turn went out
         self.newcomers: set[int] = set()     # proxies joined since then: no mark has reached them
+        self.acked_at = -math.inf            # when the newest ack was heard
         self.newest: Optional[int] = None    # newest mark that anyone acked: the store holds all up to it
         self.channel_free = 0.0              # when all that was ordered has left, at the stated pace
         self.beat = 0                        # nonce of the alarm that counts
@@ -215,7 +218,9 @@
     def on_ack(self, now: int, proxy: int, mark: int, took: int) -> None:
         p = self.proxies.get(proxy)
         if p and p.joined and (p.acked is None or not self._older(mark, p.acked)):
-            p.acked = mark
+            if p.acked == mark:
+                return                       # a turn may be carried out twice: the second ack tells nothing more
+            p.acked, self.acked_at = mark, now
             self.newest = mark if self.newest is None or self._older(self.newest, mark) else self.newest
             turn = next((t for t in self.turns if t[0] == mark), None)
             p.acked_at = min(now, turn[1] + took) if turn else now   # it took effect before it was heard
@@ -591,10 +596,13 @@
         waiting = sum(t[2] for t in self.turns)
         self.queue = max(0, self.channel_free - now) + heads + joined * self.leaving * self.per_line + gap
         due = self._due(now)
+        if self._crowded(due, waiting, joined, now):
+            return
         if now - self.sent_at >= 2 * self.even:   # so that a drain seldom meets a turn just gone
             due += self._check(now)
         revoked = [s for s in self.slices.values() if s.state == REVOKING and s.mark is not None]
-        unmarked = any(self._stop(self.proxies[n], s) is None for n in self.newcomers for s in revoked)
+        unmarked = waiting + joined * self.head <= ROOM[1] * self.room and any(
+            self._stop(self.proxies[n], s) is None for n in self.newcomers for s in revoked)
         if self.can_level and self.slices and abs(self.level - self.level_sent) >= LEVEL_STEP / 2:
             due.append((3, -1, "level", None))
         if not (due or unmarked):
@@ -615,6 +623,15 @@
             self.channel_free = max(now, self.channel_free) + joined * each * self.per_line
             self.sent_at = now
             self.newcomers.clear()
+        else:
+            self.mark = (self.mark - 1) % MARKS   # nothing fitted: marks that are never sent would use up the ring
+
+    def _crowded(self, due: list[tuple], waiting: float, joined: int, now: int) -> bool:
+        """Whether to wait for room while acks come in. Heads are most of a turn: in a channel that is slower than stated,
+        turns of a line each would fill it with heads, and the drains of many slices would wait for one another."""
+        lines = 2 * sum(urgency <= 1 for urgency, _, _, _ in due) + 1
+        return (waiting > GATHER * self.room and now - self.acked_at < ACKS_PAUSE
+                and waiting + joined * (self.head + lines) > ROOM[1] * self.room)
 
     def _step(self, step: str, s: Optional[Slice], name: Optional[str], now: int) -> list[tuple]:
         if step == "level":
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -488,3 +488,32 @@
     p.channel_free = 100_900.0
     p.on_list(100_000, "update", [entry("a", "off")])
     assert decisions(p, 100_800) == [] and decisions(p, 101_000) != []
+
+
+@pytest.mark.parametrize("last_ack, goes", [(99_000, False), (90_000, True)])
+def test_in_a_slow_channel_what_is_due_is_gathered_while_acks_come_in(last_ack, goes):
+    p = pilot(owners="a" * 20 + "b", proxies=100, lines_waiting_most=5_000.0)
+    p.on_list(50_000, "update", [entry("a", "off")])
+    p.turns.append([p.mark + 1, 0, 2_500.0, 25.0])
+    p.on_ack(last_ack, 0, p.mark + 1, 10)    # of 100 messages 99 still wait; there is room for lines, not for them all
+    assert bool(decisions(p, 100_000)) is goes
+
+
+def test_marks_alone_need_room_and_marks_that_are_not_sent_are_not_used_up():
+    p = revoking(proxies=100, lines_waiting_most=3_000.0)
+    mark = p.mark
+    p.turns.append([p.mark, 0, 2_900.0, 29.0])
+    p.on_join(100_500, 100, "z")             # has to be marked
+    for now in range(102_000, 112_000, 250):
+        assert decisions(p, now) == [] and p.mark == mark
+    p.turns.clear()
+    decisions(p, 112_000)
+    assert p.mark != mark
+
+
+def test_a_second_ack_of_a_mark_frees_no_more_of_the_channel():
+    p = pilot()
+    p.turns.append([p.mark + 1, 0, 40.0, 20.0])
+    for took in (10, 900):
+        p.on_ack(1_000, 0, p.mark + 1, took)
+    assert p.turns[0][2] == 20.0 and p.proxies[0].acked_at == 10
