Endpoints gone for a minute that no slice names are forgotten, and so are timers of waits that ended

Checked: each replaced endpoint stayed in the module with 48 samples, and each read with a limit left a timer in the loop until its limit (10 minutes for a quiet collector). What a slice names stays.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -56,6 +56,7 @@
 ASK_AGAIN = 10_000        # 0.1 ms; first wait after a failed list call, doubled up to a quarter of the bound
 RENEW = 8                 # longest waits after which a subscription that seems sound is asked for again
 ALL_TABLES = 65535        # the table number that stands for all
+FORGET = 600_000          # 0.1 ms; longer than a machine takes to restart; what was known of it is old by then
 ACKS_KEPT = 6_000_000     # 0.1 ms; a proxy away for longer acked marks that the ring may have passed
 MARKS = 65536             # marks are numbered in a ring of this size
 
@@ -307,6 +308,7 @@
                 self.burden[bearer] = self.burden.get(bearer, 0.0) + self.rate[n]
             if s.state == OWNED:
                 self.held.setdefault(s.owner, []).append(s)
+        self._forget(now)
         self.leaving = sum(s.line and self._must_leave(s.owner) for s in self.slices.values())
         self._weigh_speeds(now)
         self.mean_size = sum(e.part for e in self.live) / max(1, len(self.live))
@@ -315,6 +317,14 @@
         came = sum(g[1] for s in self.slices.values() for g in self._since(s.samples, now - self.recent))
         self.served = max(SERVED_LEAST, min(1.0, self.tip * self.acked / came / SERVED_WELL)) if came else 1.0
 
+    def _forget(self, now: int) -> None:
+        """An endpoint gone for long, that no slice names, is forgotten: where each start has a new id they pile up."""
+        gone = [e.name for e in self.endpoints.values() if e.phase in ("off", "dropped") and now - e.told_at > FORGET]
+        named = {name for s in self.slices.values() for name in (s.owner, s.target)} if gone else set()
+        for name in gone:
+            if name not in named and name not in self.standing:
+                del self.endpoints[name]
+
     def _weigh_speeds(self, now: int) -> None:
         """An endpoint's fair part is its listed size by its speed: its quicker acks against the fleet's."""
         times = {e.name: sorted(s[3] for s in e.samples if s[3]) for e in self.live}
--- a/cedarshift/loop/core.py
+++ b/cedarshift/loop/core.py
@@ -12,6 +12,7 @@
 from typing import Any, Callable, Generator, Optional, Protocol
 
 SLOW_STEP = 50_000      # us; a step longer than this holds up every other session and is reported
+TIMERS_LOOKED_OVER = 1024 # cancelled timers are forgotten whenever so many more have come: most waits end before their limit
 BREATH = 64             # ready tasks run between two looks at the network, so that input is never starved
 
 Coroutine = Generator[None, Any, Any]
@@ -112,6 +113,7 @@
         self.report = report or (lambda event, **fields: None)
         self.ready: deque[tuple[Task, Any, Optional[BaseException]]] = deque()
         self.timers: list[tuple[int, int, Timer]] = []
+        self.look_over_at = TIMERS_LOOKED_OVER
         self.drawn = 0                      # numbers timers, so that those due together run in the order set
         self.current: Optional[Task] = None
         self.tasks: set[Task] = set()
@@ -163,6 +165,10 @@
         timer = Timer(when, call, args)
         self.drawn += 1
         heapq.heappush(self.timers, (when, self.drawn, timer))
+        if len(self.timers) >= self.look_over_at:
+            self.timers = [one for one in self.timers if one[2].call is not None]
+            heapq.heapify(self.timers)
+            self.look_over_at = len(self.timers) + TIMERS_LOOKED_OVER
         return timer
 
     def _run_timers(self) -> None:
--- a/cedarshift/pilot/service.py
+++ b/cedarshift/pilot/service.py
@@ -582,7 +582,7 @@
             "in_charge": self.in_charge(),
             "proxies": [{"id": s.name, "zone": s.zone, "seq": s.seq, "unacked": len(s.marks)}
                         for _, s in sorted(self.proxies.items())],
-            "endpoints": [self._picture(e) for _, e in sorted(self.told.items())],
+            "endpoints": [self._picture(e) for n, e in sorted(self.told.items()) if n in self.brain.endpoints],
             "slices": [{"slice": row.slice, "epoch": row.epoch, "version": row.version, "owner": row.owner,
                         "state": self.brain.slices[row.slice].state if row.slice in self.brain.slices else "",
                         "levels": [msgspec.structs.asdict(lv) for lv in row.levels]}
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -517,3 +517,14 @@
     for took in (10, 900):
         p.on_ack(1_000, 0, p.mark + 1, took)
     assert p.turns[0][2] == 20.0 and p.proxies[0].acked_at == 10
+
+
+def test_endpoints_that_come_and_go_are_forgotten_but_not_what_a_slice_still_names():
+    p = pilot()
+    p.on_list(1_000, "update", [entry("d", "off")])
+    for n in range(3_000):
+        now = 10_000 + n * 5_000
+        p.on_list(now, "update", [entry(f"e{n}"), entry(f"e{n - 5}", "off")])
+        decisions(p, now)                    # no proxy acks: the slices of d stay in their hand-over
+    assert len(p.endpoints) < 150 and "d" in p.endpoints
+    assert {s.owner for s in p.slices.values()} == set("abcd")
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -201,3 +201,11 @@
             got += len(data)
         return got
     assert loop.run(loop.spawn(main(), "main")) == size
+
+
+def test_timers_of_waits_that_ended_are_forgotten():
+    loop = virtual_loop()
+    kept = loop.at(10**12, lambda: None)
+    for n in range(20_000):
+        loop.at(10**9 + n, lambda: None).cancel()
+    assert len(loop.timers) < 3_000 and kept in [timer for _, _, timer in loop.timers]
