--- a/cedarshift/platform/service.py
+++ b/cedarshift/platform/service.py
@@ -28,6 +28,7 @@
 ACKED_KEPT = 8            # turns of which acks may still come in
 AFTER_FAULT = 50_000      # us; a fault of the module must not end its beat, nor spin
 TURN_SHOWN = 400          # characters of a turn's orders in its log line
+SLOWEST_SHOWN = 5         # endpoints in a line of the log
 AWAY_LEAST = 700_000      # us; silent for less, a slice can't have been another pilot's: the store waits longer than that
 
 
@@ -161,6 +162,17 @@
         if reopen is not None:
             self._reopen(slice_id, reopen)
 
+    def slowest_endpoints(self) -> list[dict[str, Any]]:
+        """What the module believes of those endpoints whose acks take longest, for the log."""
+        brain, now = self.brain, self._now()
+        met = sorted(getattr(brain, "met", {}).items(), key=lambda item: -item[1][2])
+        return [{"endpoint": name, "tries": tries, "aborted": round(aborted), "took_ms": round(took / 10),
+                 "part": round(brain.endpoints[name].part, 2), "slices": len(brain.held.get(name, ())),
+                 "fair_share": round(brain.burden.get(name, 0.0) / max(1e-9, brain.unit * brain.endpoints[name].part), 2),
+                 "warmth": round(brain._warmth(brain.endpoints[name], now), 2), "hot": brain.endpoints[name].hot_checks,
+                 "sick_ms": max(0, brain.endpoints[name].sick_until - now) // 10}
+                for name, (tries, aborted, took) in met[:SLOWEST_SHOWN] if name in brain.endpoints]
+
     # ---- what is decided
 
     def _now(self) -> int:
--- a/cedarshift/platform/start.py
+++ b/cedarshift/platform/start.py
@@ -89,3 +89,4 @@
     while True:
         yield from loop.sleep(FIGURES_EVERY)
         report("figures", **figures(pilot))
+        report("slowest", endpoints=pilot.slowest_endpoints())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -282,6 +282,14 @@
 
 # ---- configuration and log
 
+def test_the_log_tells_what_the_module_believes_of_the_slowest_endpoints():
+    stage = Stage().run(1)
+    stage.do(caller(stage, frame(t="agent", locality="za"), frame(**MET), until=2))
+    stage.run(0.5)
+    shown = stage.pilot.slowest_endpoints()
+    assert shown[0]["endpoint"] == "a" and shown[0]["took_ms"] == 42 and shown[0]["slices"] == 2
+
+
 def test_new_addresses_are_used_and_an_unanswered_call_goes_on_there():
     stage = Stage().run(1)
     stage.relay.script = ["silent"]
