--- a/cedarshift/platform/collectors.py
+++ b/cedarshift/platform/collectors.py
@@ -18,6 +18,7 @@
 COLLECTORS_MOST = 64      # joined connections; there is a collector a zone, and old ones may linger
 FIRST_MOST = 4_096        # bytes of a message before joining; a joining has under a hundred
 ACCEPTS_A_STEP = 16       # accepts before those accepted get to speak
+ACCEPT_AGAIN = 50_000     # us; unjoined connections end all the time
 HALF_FOR = 5_000_000      # us that a collector's message may take to come whole
 QUIET_FOR = 600_000_000   # us; a collector has something to report far more often
 
@@ -51,10 +52,14 @@
 
     def _accept(self) -> Coroutine:
         while True:
-            for _ in range(ACCEPTS_A_STEP):
-                stream = yield from self.listener.accept()
-                self._admit(stream)
-            yield from self.loop.breathe()
+            try:
+                for _ in range(ACCEPTS_A_STEP):
+                    stream = yield from self.listener.accept()
+                    self._admit(stream)
+                yield from self.loop.breathe()
+            except OSError as error:         # out of descriptors: those who wait stay in the kernel's queue
+                self.report("accept_failed", reason=str(error))
+                yield from self.loop.sleep(ACCEPT_AGAIN)
 
     def _admit(self, stream: Stream) -> None:
         caller = Caller(self.loop, stream)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -280,6 +280,18 @@
     assert held <= 256 // 4 and stage.pilot.collectors.counts["evicted"] >= 400 - held
 
 
+def test_without_descriptors_callers_wait_and_are_heard_later(monkeypatch):
+    stage = Stage().run(1)
+    door = stage.pilot.collectors.listener.door
+
+    def full():
+        raise OSError(24, "Too many open files")
+    monkeypatch.setattr(door, "accept", full)
+    stage.loop.at(stage.loop.now() + 200_000, monkeypatch.undo)
+    got, _ = stage.do(caller(stage, frame(t="probe")))
+    assert got == frame(t="alive") and stage.heard("accept_failed")
+
+
 # ---- configuration and log
 
 def test_the_log_tells_what_the_module_believes_of_the_slowest_endpoints():
