--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -46,9 +46,9 @@
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
 ROOM = (0.95, 0.9, 0.6, 0.5)   # shares of the channel's waiting lines used, by urgency: a drain finds room
-GATHER = 0.15             # share of the channel that may still wait when a turn goes that holds less than what is due
+GATHER = 0.15             # share of the channel that may wait when a turn goes without all that is due
 ACKS_PAUSE = 5_000        # 0.1 ms; with no ack for so long nothing tells that the channel drains
-TURN_HEADS = 1.25         # times what a turn's heads hold the channel between turns: heads fill four fifths at most
+TURN_HEADS = 1.25         # times what a turn's heads hold the channel, between turns: they fill four fifths
 LEVEL_STEP = 0.05         # added to the level a check; full again within some ten checks
 LEVEL_SHARE = 0.85        # what is left of the level after a check under overload
 LEVEL_LEAST = 0.6         # the level never goes below: deeper cuts reject what would be acked
@@ -56,7 +56,7 @@
 ASK_AGAIN = 10_000        # 0.1 ms; first wait after a failed list call, doubled up to a quarter of the bound
 RENEW = 8                 # longest waits after which a subscription that seems sound is asked for again
 ALL_TABLES = 65535        # the table number that stands for all
-FORGET = 600_000          # 0.1 ms; longer than a machine takes to restart; what was known of it is old by then
+FORGET = 600_000          # 0.1 ms; longer than a machine takes to restart; what was known is old by then
 ACKS_KEPT = 6_000_000     # 0.1 ms; a proxy away for longer acked marks that the ring may have passed
 MARKS = 65536             # marks are numbered in a ring of this size
 
@@ -88,8 +88,8 @@
 
 
 class Proxy:
-    """A joined proxy, or one that has left. What it acked in an earlier stream still holds: it reads the store as it
-    joins, so it never goes back behind that."""
+    """A joined proxy, or one that has left. What it acked in an earlier stream still holds: it reads the
+    store as it joins, so it never goes back behind that."""
 
     def __init__(self, zone: str, now: int, old: Optional[Proxy], read: Optional[int]) -> None:
         self.zone, self.joined, self.left_at, self.joined_at = zone, True, 0, now
@@ -220,9 +220,10 @@
         p = self.proxies.get(proxy)
         if p and p.joined and (p.acked is None or not self._older(mark, p.acked)):
             if p.acked == mark:
-                return                       # a turn may be carried out twice: the second ack tells nothing more
+                return                       # a turn may be carried out twice: a second ack tells nothing
             p.acked, self.acked_at = mark, now
-            self.newest = mark if self.newest is None or self._older(self.newest, mark) else self.newest
+            if self.newest is None or self._older(self.newest, mark):
+                self.newest = mark
             turn = next((t for t in self.turns if t[0] == mark), None)
             p.acked_at = min(now, turn[1] + took) if turn else now   # it took effect before it was heard
             if turn:
@@ -318,8 +319,10 @@
         self.served = max(SERVED_LEAST, min(1.0, self.tip * self.acked / came / SERVED_WELL)) if came else 1.0
 
     def _forget(self, now: int) -> None:
-        """An endpoint gone for long, that no slice names, is forgotten: where each start has a new id they pile up."""
-        gone = [e.name for e in self.endpoints.values() if e.phase in ("off", "dropped") and now - e.told_at > FORGET]
+        """An endpoint gone for long, that no slice names, is forgotten: where each start has a new id they
+        pile up."""
+        gone = [e.name for e in self.endpoints.values()
+                if e.phase in ("off", "dropped") and now - e.told_at > FORGET]
         named = {name for s in self.slices.values() for name in (s.owner, s.target)} if gone else set()
         for name in gone:
             if name not in named and name not in self.standing:
@@ -455,8 +458,8 @@
         return max(ends) if max(ends) <= now else None
 
     def _stop(self, p: Proxy, s: Slice) -> Optional[int]:
-        """When one proxy stopped. One that was away for a lease sends nothing until it has read the store, and that
-        held the revoke if its mark was acked by anyone before."""
+        """When one proxy stopped. One that was away for a lease sends nothing until it has read the store,
+        and that held the revoke if its mark was acked by anyone before."""
         if not p.joined:
             return p.left_at + self.lease
         away = max(p.away_from, s.given_at) + self.lease
@@ -634,11 +637,11 @@
             self.sent_at = now
             self.newcomers.clear()
         else:
-            self.mark = (self.mark - 1) % MARKS   # nothing fitted: marks that are never sent would use up the ring
+            self.mark = (self.mark - 1) % MARKS   # nothing fitted: an unsent mark would use up the ring
 
     def _crowded(self, due: list[tuple], waiting: float, joined: int, now: int) -> bool:
-        """Whether to wait for room while acks come in. Heads are most of a turn: in a channel that is slower than stated,
-        turns of a line each would fill it with heads, and the drains of many slices would wait for one another."""
+        """Whether to wait for room while acks come in. Heads are most of a turn: in a channel that is slower
+        than stated, turns of a line each would fill it with heads, and drains would wait for one another."""
         lines = 2 * sum(urgency <= 1 for urgency, _, _, _ in due) + 1
         return (waiting > GATHER * self.room and now - self.acked_at < ACKS_PAUSE
                 and waiting + joined * (self.head + lines) > ROOM[1] * self.room)
