The codec bounds an event, and refuses list lines that orders can't carry

Seen on reading again: an event of endless `data` lines grew without bound; a zone of another type would have reached the module, where it is a dictionary's key; an id with a comma or semicolon would have split an order in two.

--- a/cedarshift/codec/platform/entries.py
+++ b/cedarshift/codec/platform/entries.py
@@ -10,6 +10,7 @@
 from cedarshift.interface import Entry
 
 PHASES = {"ready": "on", "draining": "fading", "gone": "off"}
+APART = {",", ";"}        # what parts orders, and their fields
 REVISION_MOST = 1 << 62
 LINE_MOST = 4 << 20       # bytes of one line; a list of 10,000 endpoints has about 2 MB
 MILLIS_MOST = 1e14        # ms; Unix times stay below for some thousand years
@@ -46,8 +47,11 @@
         raise Spoilt(f"lifecycle: {raw['lifecycle']!r}, {', '.join(PHASES)} are allowed")
     size = fields.number(raw, "weight", 0, 1e9) if raw.get("weight") is not None else 1.0
     started = fields.number(raw, "startedAtMs", 0, MILLIS_MOST) if raw.get("startedAtMs") is not None else 0
-    return Entry(fields.text(raw, "instanceId"), phase, float(size) or 1.0, raw.get("zone") or "",
-                 round(started * TENTHS) or None)
+    zone = fields.text(raw, "zone") if raw.get("zone") else ""
+    name = fields.text(raw, "instanceId")
+    if set(name) & APART:
+        raise Spoilt(f"instanceId: {name!r}, an order can't hold it: no {' or '.join(sorted(APART))} is allowed")
+    return Entry(name, phase, float(size) or 1.0, zone, round(started * TENTHS) or None)
 
 
 class ListLines:
--- a/cedarshift/codec/platform/fields.py
+++ b/cedarshift/codec/platform/fields.py
@@ -31,23 +31,21 @@
 
 
 def flag(raw: Any, key: str) -> bool:
-    got = raw.get(key)
-    if not isinstance(got, bool):
-        raise Spoilt(f"{key}: {_shown(got)}, true or false is allowed")
-    return got
+    return _of(raw, key, bool, "true or false")
 
 
 def mapping(raw: Any, key: str) -> dict:
-    got = raw.get(key)
-    if not isinstance(got, dict):
-        raise Spoilt(f"{key}: {_shown(got)}, an object is allowed")
-    return got
+    return _of(raw, key, dict, "an object")
 
 
 def sequence(raw: Any, key: str) -> list:
+    return _of(raw, key, list, "a list")
+
+
+def _of(raw: Any, key: str, kind: type, allowed: str) -> Any:
     got = raw.get(key)
-    if not isinstance(got, list):
-        raise Spoilt(f"{key}: {_shown(got)}, a list is allowed")
+    if not isinstance(got, kind):
+        raise Spoilt(f"{key}: {_shown(got)}, {allowed} is allowed")
     return got
 
 
--- a/cedarshift/codec/platform/news.py
+++ b/cedarshift/codec/platform/news.py
@@ -7,7 +7,7 @@
 from cedarshift.codec.platform import fields
 from cedarshift.codec.platform.errors import Spoilt, Unreadable
 
-LINE_MOST = 65_536        # bytes of one line; news has under a hundred
+LINE_MOST = 65_536        # bytes of one line, and of one event; news has under a hundred
 NUMBER_MOST = 65_535      # proxies, slices and marks
 LATENCY_MOST = 600_000.0  # ms
 
@@ -19,6 +19,7 @@
         self.rest = b""
         self.name = ""
         self.data: list[str] = []
+        self.held = 0                        # bytes of the event so far
         self.signs = 0                       # signs of life so far
 
     def feed(self, piece: bytes) -> Iterator[tuple[str, str]]:
@@ -34,13 +35,16 @@
             if not line:
                 if self.data:
                     yield self.name, "\n".join(self.data)
-                self.name, self.data = "", []
+                self.name, self.data, self.held = "", [], 0
             elif line.startswith(":"):
                 self.signs += 1
             elif line.startswith("event:"):
                 self.name = line[6:].strip()
             elif line.startswith("data:"):
                 self.data.append(line[5:].strip())
+                self.held += len(line)
+                if self.held > LINE_MOST:
+                    raise Unreadable(f"an event over {LINE_MOST} bytes")
 
 
 def parted(data: str) -> dict[str, str]:
--- a/cedarshift/codec/platform/reports.py
+++ b/cedarshift/codec/platform/reports.py
@@ -9,7 +9,6 @@
 
 PROBE, JOINING, MET, HEAT = "probe", "agent", "outcomes", "hot"   # what `t` may name at a pilot's address
 ALIVE = {"t": "alive"}
-TENTHS = 10               # tenths of a millisecond in a millisecond
 COUNT_MOST = 10_000_000   # ops of one report: more is no count
 RTT_MOST = 600_000.0      # ms; no op lasts ten minutes
 SPAN_MOST = 600_000.0     # ms; nor does a report's interval
