--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -24,9 +24,7 @@
 MOVES_A_SOURCE = 2        # slices that one hot endpoint gives up a turn: more would overshoot on late sums
 STRAINED = 0.08           # share of ops aborted beyond the middle endpoint's: an endpoint worth relieving
 HOLD = 200_000            # 0.1 ms; a moved slice stays put until its load has shown and its keys are known
-WORTH_MOVING = 0.3        # share of the tightest target latency; under it a hot endpoint is in time
-WORTH_MOST = 0.4          # the same; over it a hot endpoint is late, however slow the fleet's quick acks are
-WORTH_SLOWED = 2.0        # times the fleet's quick acks: less may be an op's own work
+WORTH_MOVING = 0.4        # share of the tightest target latency; under it a hot endpoint is in time
 LATE = 15_000             # 0.1 ms; how late a sum may come; one begun sooner after a move tells of before
 RECENT = 4                # report periods over which figures are worked out; fewer is noise, more is late
 RECENT_LEAST = 40_000     # 0.1 ms; with short periods, less time than this holds too few ops
@@ -160,7 +158,6 @@
         self.level, self.level_sent = 1.0, 1.0
         self.laid: dict[tuple[int, str], bool] = {}
         self.news, self.weighed_at = True, 0  # the list, the charge or the orders changed since the weigh-up
-        self.worth = WORTH_MOST * self.tight   # 0.1 ms; mean time past which a hand-over is worth its cost
         self.held: dict[str, list[Slice]] = {}   # the slices that each endpoint owns
         self.mean_rate = 1e-3                # ops of a slice in 0.1 ms, until sums come
         self.out, self.fresh = deque(), False   # decisions to hand out; a beat or a list came since the last
@@ -333,7 +330,6 @@
         times = {e.name: sorted(s[3] for s in e.samples if s[3]) for e in self.live}
         quick = {name: took[len(took) // 4] for name, took in times.items() if len(took) >= QUICK_LEAST}
         usual = sorted(quick.values())[len(quick) // 2] if quick else 1
-        self.worth = min(WORTH_MOST * self.tight, max(WORTH_MOVING * self.tight, WORTH_SLOWED * usual))
         for e in self.live:
             speed = usual / quick.get(e.name, usual) if self._warmth(e, now) >= 1.0 else 1.0
             e.part = e.size * max(1 / SPEED_MOST, min(SPEED_MOST, speed))
@@ -587,7 +583,7 @@
     def _strained(self, met: tuple[int, int, float]) -> bool:
         """A hand-over costs seconds of writes: not for one in time that aborts no more than its peers."""
         tries, aborted, took = met
-        return tries > 0 and aborted > (STRAINED + self.usual) * tries or took > self.worth
+        return tries > 0 and aborted > (STRAINED + self.usual) * tries or took > WORTH_MOVING * self.tight
 
     def _set_level(self, met: list[tuple[int, int, float]]) -> None:
         """Only the middle endpoint's slow acks tell of overload; a few full ones are left to the mover."""
