--- a/cedarshift/loop/epoll.py
+++ b/cedarshift/loop/epoll.py
@@ -164,23 +164,22 @@
 
 
 class Signals:
-    """Signals as something to wait for, by a wake pipe; only the main thread may hold one."""
+    """Signals as something to wait for, by a wake pipe; only the main thread may hold one. A pipe, as a pair of sockets would
+    be Unix sockets, for which there is no room where the platform runs the program."""
 
     def __init__(self, loop: Loop, network: EpollNetwork, numbers: Iterable[int]) -> None:
         self.loop = loop
         self.came: list[int] = []
         self.waiting: Optional[Waker] = None
-        self.inner, self.outer = socket.socketpair()
-        self.inner.setblocking(False)
-        self.outer.setblocking(False)
-        signal.set_wakeup_fd(self.outer.fileno(), warn_on_full_buffer=False)
+        self.inner, self.outer = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+        signal.set_wakeup_fd(self.outer, warn_on_full_buffer=False)
         for number in numbers:
             signal.signal(number, lambda *_: None)
-        network.register(self.inner.fileno(), self._ready)
+        network.register(self.inner, self._ready)
 
     def _ready(self, readable: bool, writable: bool, hung: bool) -> None:
         try:
-            self.came.extend(self.inner.recv(512))
+            self.came.extend(os.read(self.inner, 512))
         except (BlockingIOError, InterruptedError):
             return
         if self.waiting is not None:
