--- /dev/null
+++ b/cedarshift/judge/roll.py
@@ -0,0 +1,318 @@
+"""Who of a deployment's pilots is there: what is said of them, merged in any order to the same, and what follows from it.
+
+Three kinds of things are said, each of which only ever grows, so that nothing older undoes what is newer:
+
+- a *word*: what a member says of itself: its start, its incarnation, whether it has left;
+- an *edge*: whether an observer hears a subject, as of one life and incarnation of both; a silent edge is a report, one that
+  hears is a voucher, and good for a few periods;
+- a *verdict*: that a subject, as of one life and incarnation, is dead; said once by a side that is most of the configured.
+
+A member that finds a verdict on itself raises its incarnation, and with it all edges and the verdict lose their ground.
+
+No I/O; times are whole microseconds of one clock, passed in. Ownership of slices never follows from the roll.
+"""
+from __future__ import annotations
+
+import math
+from collections import Counter
+from hashlib import blake2b
+from typing import Callable, Iterable, NamedTuple, Optional
+
+# Constants: unit, then the reason for the size.
+OBSERVERS = 8             # observers of a member: one or two slow or dead ones among them decide nothing
+SHARE_LEAST = 0.6         # of a subject's sound observers that must report it, however long one waits
+PATIENCE_FIRST = 1.0      # periods from the first report until a verdict when every observer reports: vouchers take as long
+PATIENCE_MORE = 8.0       # periods more for all observers that do not report, in proportion
+SETTLED = 0.75            # periods without a new report of anyone: what fails together is judged together
+SETTLED_MOST = 4.0        # periods from a subject's first report after which it is judged though others keep coming
+VOUCHER_FOR = 4.0         # periods that a proof of life stands against reports
+CUT_AFTER = 2.0           # periods of reports and vouchers side by side after which a member counts as cut
+REPORTS_LEAST = 2         # observers, where there are so many: one alone may be the faulty one
+
+ALIVE, SUSPECT, CUT, DEAD, LEFT, UNHEARD = "alive", "suspect", "cut", "dead", "left", "unheard"
+USABLE = (ALIVE, SUSPECT, CUT)
+
+
+class Word(NamedTuple):
+    """Ordered by start, then by having left, then by incarnation."""
+    start: int
+    left: bool
+    incarnation: int
+
+
+class Edge(NamedTuple):
+    """Ordered by the observer's start, then by `seq`, which the observer counts up, then by `at`: when its proof of life
+    was sent, or when the silence was found (us, this clock)."""
+    observer_start: int
+    seq: int
+    at: int
+    observer_incarnation: int
+    hears: bool
+    start: int
+    incarnation: int
+
+
+class Verdict(NamedTuple):
+    """`side`: how many members stood on the side that agreed."""
+    start: int
+    incarnation: int
+    side: int
+
+
+class Change(NamedTuple):
+    """One member's new state and what it rests on."""
+    name: str
+    before: str
+    after: str
+    start: int
+    incarnation: int
+    reporters: tuple[str, ...]
+    vouchers: tuple[str, ...]
+    side: int
+    configured: int
+
+    @property
+    def agreed(self) -> bool:
+        """Whether most of the configured stand behind it; what a minority believes is to be taken as that."""
+        return 2 * self.side > self.configured
+
+
+class Rings:
+    """Who observes whom: in each of some rings, ordered by a digest of the names, a member observes the next usable one.
+    Small fleets observe each other all. The same names give the same rings everywhere."""
+
+    def __init__(self, names: Iterable[str], count: int = OBSERVERS) -> None:
+        names = sorted(names)
+        self.count = min(count, max(0, len(names) - 1))
+        self.orders = [sorted(names, key=lambda name: (blake2b(f"{ring}/{name}".encode(), digest_size=8).digest(), name))
+                       for ring in range(self.count)]
+        self.places = [{name: at for at, name in enumerate(order)} for order in self.orders]
+
+    def _next(self, name: str, usable: Callable[[str], bool], step: int) -> list[str]:
+        found: list[str] = []
+        for order, places in zip(self.orders, self.places):
+            at = places[name]
+            for _ in range(len(order) - 1):
+                at = (at + step) % len(order)
+                other = order[at]
+                if other not in found and usable(other):
+                    found.append(other)
+                    break
+        return found
+
+    def subjects(self, name: str, usable: Callable[[str], bool]) -> list[str]:
+        return self._next(name, usable, 1)
+
+    def observers(self, name: str, usable: Callable[[str], bool]) -> list[str]:
+        return self._next(name, usable, -1)
+
+
+class Roll:
+    """`period` in us. `health` of the one who keeps it, 0 for well, lengthens its patience."""
+
+    def __init__(self, me: str, names: Iterable[str], period: int) -> None:
+        self.me = me
+        self.names = sorted(names)
+        self.period = period
+        self.rings = Rings(self.names)
+        self.words: dict[str, Word] = {}
+        self.edges: dict[str, dict[str, Edge]] = {}      # subject -> observer -> edge
+        self.verdicts: dict[str, Verdict] = {}
+        self.doomed: dict[str, Verdict] = {}             # what this side found while it was no majority; told to nobody else
+        self.states = {name: UNHEARD for name in self.names}
+        self.since: dict[str, int] = {}                  # when the first of the standing reports of a subject was learnt
+        self.changed_at: dict[str, int] = {}             # when a member came to its state
+        self.newest_report = -10 ** 18
+        self.digest = 0
+        self.stale = True                                # something was merged since the last look
+        self.look_at = 0
+
+    # ---- merging: commutative, associative, idempotent
+
+    def merge_word(self, name: str, word: Word) -> bool:
+        known = self.words.get(name)
+        if name not in self.states or (known is not None and word <= known):
+            return False
+        self._fold(name, known)
+        self._fold(name, word)
+        self.words[name] = word
+        verdict = self.verdicts.get(name)
+        if verdict is not None and self._past(verdict, word):
+            self._fold(name, self.verdicts.pop(name))
+        self.doomed.pop(name, None)
+        self.stale = True
+        return True
+
+    def merge_edge(self, now: int, observer: str, subject: str, edge: Edge) -> bool:
+        if observer not in self.states or subject not in self.states or observer == subject:
+            return False
+        known = self.edges.get(subject, {}).get(observer)
+        word = self.words.get(subject)
+        if (known is not None and edge[:3] <= known[:3]) or (word is not None and (edge.start, edge.incarnation) < (
+                word.start, word.incarnation)):
+            return False
+        self.edges.setdefault(subject, {})[observer] = edge
+        if not edge.hears and (known is None or known.hears or known[4:] != edge[4:]):
+            self.newest_report = now
+        self.stale = True
+        return True
+
+    def merge_verdict(self, name: str, verdict: Verdict) -> bool:
+        """Taken over where most of the configured stood behind it; a minority's is its own."""
+        word, known = self.words.get(name), self.verdicts.get(name)
+        if name not in self.states or 2 * verdict.side <= len(self.names) or (known is not None and verdict <= known):
+            return False
+        if word is not None and self._past(verdict, word):
+            return False
+        self._fold(name, known)
+        self._fold(name, verdict)
+        self.verdicts[name] = verdict
+        self.stale = True
+        return True
+
+    @staticmethod
+    def _past(verdict: Verdict, word: Word) -> bool:
+        """Whether the word answers the verdict: by a later life or incarnation, or by having left."""
+        return verdict[:2] < (word.start, word.incarnation) or (word.left and verdict.start <= word.start)
+
+    def dead(self, name: str) -> Optional[Verdict]:
+        """The verdict that stands on a member as it is now."""
+        word = self.words.get(name)
+        for verdict in (self.verdicts.get(name), self.doomed.get(name)):
+            if verdict is not None and word is not None and verdict[:2] == (word.start, word.incarnation):
+                return verdict
+        return None
+
+    def _fold(self, name: str, said: Optional[tuple]) -> None:
+        """Two members with the same digest hold the same words and verdicts. A verdict's side is left out: it is told once."""
+        if said is not None:
+            body = f"{name} {said[:2] if isinstance(said, Verdict) else tuple(said)} {type(said).__name__}"
+            self.digest ^= int.from_bytes(blake2b(body.encode(), digest_size=8).digest(), "big")
+
+    # ---- what follows
+
+    def usable(self, name: str) -> bool:
+        return self.states[name] in USABLE
+
+    def subjects(self) -> list[str]:
+        return self.rings.subjects(self.me, self.usable)
+
+    def standing(self, subject: str) -> dict[str, Edge]:
+        """The edges to a subject that hold: of its present life and incarnation, by observers as they are now."""
+        word = self.words.get(subject)
+        if word is None:
+            return {}
+        return {observer: edge for observer, edge in self.edges.get(subject, {}).items()
+                if (edge.start, edge.incarnation) == (word.start, word.incarnation) and self._stands(observer, edge)}
+
+    def _stands(self, observer: str, edge: Edge) -> bool:
+        word = self.words.get(observer)
+        return (word is not None and (edge.observer_start, edge.observer_incarnation) == (word.start, word.incarnation)
+                and self.states[observer] in USABLE)
+
+    def look(self, now: int, health: int = 0) -> list[Change]:
+        """Brings the states up to now; what changed. Nothing is looked at again before something was merged or is due."""
+        if not self.stale and now < self.look_at:
+            return []
+        self.stale, self.look_at = False, now + 10 ** 12
+        before = dict(self.states)
+        standing = {name: found for name in self.names if (found := self.standing(name))}
+        silent = {name: {o for o, edge in found.items() if not edge.hears} for name, found in standing.items()}
+        weak = {name for name, some in silent.items() if len(some) >= max(
+            REPORTS_LEAST, math.ceil(len(self.rings.observers(name, self.usable)) / 2))}
+        sides = sum(self.usable(name) or name == self.me for name in self.names)
+        side = sides - sum(name != self.me and self.usable(name) for name in weak)
+        evidence: dict[str, tuple[tuple[str, ...], tuple[str, ...]]] = {}
+        for name in self.names:
+            reporters = silent.get(name, set()) - weak
+            vouchers = {o for o, edge in standing.get(name, {}).items() if edge.hears and o not in weak
+                        and now - edge.at <= VOUCHER_FOR * self.period}
+            if name != self.me and reporters | vouchers:
+                evidence[name] = (tuple(sorted(reporters)), tuple(sorted(vouchers)))
+                self._judge(now, name, reporters, vouchers, weak, side, health)
+            self.states[name] = self._state(now, name, reporters, vouchers)
+        for name in self.names:
+            if self.states[name] != before[name]:
+                self.changed_at[name] = now
+        self._tidy()
+        return [Change(name, before[name], self.states[name], *self._life(name), *evidence.get(name, ((), ())),
+                       self.verdicts[name].side if name in self.verdicts else side, len(self.names))
+                for name in self.names if self.states[name] != before[name]]
+
+    def _judge(self, now: int, name: str, reporters: set[str], vouchers: set[str], weak: set[str], side: int,
+               health: int) -> None:
+        """Finds a verdict where the reports are enough, in time, and nobody sound vouches."""
+        word = self.words[name]
+        if not reporters or word.left or self.dead(name) is not None:
+            if not reporters:
+                self.since.pop(name, None)
+            return
+        first = self.since.setdefault(name, now)
+        observers = set(self.rings.observers(name, self.usable)) - weak | reporters
+        share = len(reporters) / len(observers)
+        patience = self.period * (PATIENCE_FIRST + PATIENCE_MORE * (1 - share)) * (1 + health / 2)
+        settled = min(self.newest_report + SETTLED * self.period, first + SETTLED_MOST * self.period)
+        due = math.ceil(max(first + patience, settled))
+        others = sum(self.usable(one) for one in self.names if one not in (name, self.me)) + 1
+        if vouchers:
+            due = max(due, math.ceil(max(self.edges[name][o].at for o in vouchers) + VOUCHER_FOR * self.period) + 1)
+        if share < SHARE_LEAST or len(reporters) < min(REPORTS_LEAST, others):
+            self._look_again(math.ceil(now + self.period))
+        elif now >= due:
+            verdict = Verdict(word.start, word.incarnation, side)
+            if 2 * side > len(self.names):
+                self._fold(name, verdict)
+                self.verdicts[name] = verdict
+            else:
+                self.doomed[name] = verdict
+        else:
+            self._look_again(due)
+
+    def _state(self, now: int, name: str, reporters: set[str], vouchers: set[str]) -> str:
+        word = self.words.get(name)
+        if word is None:
+            return UNHEARD
+        if word.left:
+            return LEFT
+        if self.dead(name) is not None:
+            return DEAD
+        if not reporters:
+            return ALIVE
+        if self.states[name] == CUT or (vouchers and now - self.since.get(name, now) >= CUT_AFTER * self.period):
+            return CUT
+        self._look_again(math.ceil(self.since.get(name, now) + CUT_AFTER * self.period))
+        return SUSPECT
+
+    def _look_again(self, at: int) -> None:
+        self.look_at = min(self.look_at, at)
+
+    def _life(self, name: str) -> tuple[int, int]:
+        word = self.words.get(name)
+        return (word.start, word.incarnation) if word is not None else (0, 0)
+
+    def _tidy(self) -> None:
+        """Edges that have lost their ground are dropped: a newer word or verdict stands against them for good."""
+        for subject in list(self.edges):
+            word = self.words.get(subject)
+            kept = {o: e for o, e in self.edges[subject].items()
+                    if word is None or (e.start, e.incarnation) >= (word.start, word.incarnation)}
+            if word is not None and word.left:
+                kept = {}
+            if kept:
+                self.edges[subject] = kept
+            else:
+                del self.edges[subject]
+                self.since.pop(subject, None)
+
+    # ---- for those who build on it
+
+    def side(self) -> int:
+        """How many members are on this side: usable and not given up by half of their observers."""
+        return sum(self.usable(name) or name == self.me for name in self.names)
+
+    def view(self) -> dict[str, tuple[str, int, int]]:
+        """Name -> (state, start, incarnation)."""
+        return {name: (self.states[name], *self._life(name)) for name in self.names}
+
+    def counts(self) -> Counter[str]:
+        return Counter(self.states.values())
--- /dev/null
+++ b/cedarshift/rehearsal/crowd.py
@@ -0,0 +1,273 @@
+"""Many members on one virtual clock, free of sockets: links that lose, delay, double and cut each way by itself, members that
+are killed, paused, slow or started anew, and what may and must have happened in the end. A run is the same for its seed.
+
+It hosts the very `gossip.Member` that a pilot runs, bytes and all, or anything with its `hear`, `hear_stream`, `tick`, `due`,
+`out` and `wishes`: baselines are played on the same days.
+"""
+from __future__ import annotations
+
+import heapq
+import random
+from collections import deque
+from typing import Any, Callable, Optional
+
+from cedarshift.codec.gossip import Seal
+from cedarshift.gossip.member import Member
+from cedarshift.judge.roll import ALIVE, DEAD, Change
+
+SECOND = 1_000_000        # us
+INBOX = 200               # datagrams that wait at a paused member, as in a socket's buffer
+RESENT = 200_000          # us; a stream's segment that is lost comes so much later, doubled each time
+DIAL_LOST = 1_000_000     # us; the same for its first one
+
+Address = tuple[str, int]
+
+
+class Links:
+    """What passes from one to another. `cuts` hold by name: a predicate on (source, target) that stops everything."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self.chance = chance
+        self.loss = 0.0
+        self.delay = (200, 1_500)            # us: least and spread
+        self.doubled = 0.0
+        self.late = 0.0                      # share of datagrams that come `late_by` later: out of order
+        self.late_by = 30_000
+        self.loss_between: dict[tuple[str, str], float] = {}
+        self.cuts: dict[str, Callable[[str, str], bool]] = {}
+
+    def open(self, source: str, target: str) -> bool:
+        return not any(cut(source, target) for cut in self.cuts.values())
+
+    def lost(self, source: str, target: str) -> bool:
+        loss = self.loss_between.get((source, target), self.loss)
+        return loss > 0 and self.chance.random() < loss
+
+    def took(self) -> int:
+        took = self.delay[0] + int(self.chance.random() * self.delay[1])
+        return took + self.late_by if self.late and self.chance.random() < self.late else took
+
+    def stream_took(self, source: str, target: str) -> Optional[int]:
+        """One way of a segment, with what is sent again for loss; None where nothing gets through."""
+        if not self.open(source, target):
+            return None
+        took, again = self.took(), RESENT
+        while self.lost(source, target):
+            took, again = took + again, 2 * again
+        return took
+
+
+class Place:
+    """One name's present life."""
+
+    def __init__(self, name: str, address: Address) -> None:
+        self.name = name
+        self.address = address
+        self.member: Any = None
+        self.alive = False
+        self.paused = False
+        self.slow = 0                        # us that each of its steps comes late
+        self.wake_at = 0
+        self.inbox: deque[tuple[bytes, Address]] = deque(maxlen=INBOX)
+        self.unsound_until = 0               # until when nobody can tell that it is well
+
+
+class Crowd:
+    """`make(name, addresses, period, start, seed, now, on_change)` builds a member; by default the product's own."""
+
+    def __init__(self, count: int, seed: int, period: int = SECOND, make: Optional[Callable[..., Any]] = None,
+                 spread: Optional[int] = None) -> None:
+        self.chance = random.Random(seed)
+        self.links = Links(random.Random(seed + 1))
+        self.period = period
+        self.now = SECOND
+        self.drawn = 0
+        self.events: list[tuple[int, int, Callable[..., None], tuple]] = []
+        self.make = make or self._member
+        self.seal = Seal("crowd", b"a secret of the crowd")
+        width = len(str(count - 1))
+        self.places = {f"p{n:0{width}d}": Place(f"p{n:0{width}d}", (f"h{n}", 7)) for n in range(count)}
+        self.by_address = {place.address: place for place in self.places.values()}
+        self.changes: list[tuple[int, str, Change]] = []   # when, who changed its view, what
+        self.killed: dict[str, int] = {}
+        self.fault_until = 0                 # when the last fault ended
+        self.starts = 0
+        for place in self.places.values():
+            self.at(self.now + self.chance.randrange(spread if spread is not None else period), self.start, place.name)
+
+    def _member(self, name: str, addresses: dict[str, Address], period: int, start: int, seed: int, now: int,
+                on_change: Callable[[int, Change], None]) -> Member:
+        return Member(name, addresses, self.seal, period, start, seed, now, on_change)
+
+    # ---- time
+
+    def at(self, when: int, call: Callable[..., None], *args: Any) -> None:
+        self.drawn += 1
+        heapq.heappush(self.events, (when, self.drawn, call, args))
+
+    def run(self, until: int) -> None:
+        while self.events and self.events[0][0] <= until:
+            when, _, call, args = heapq.heappop(self.events)
+            self.now = max(self.now, when)
+            call(*args)
+        self.now = max(self.now, until)
+
+    def run_for(self, periods: float) -> None:
+        self.run(self.now + int(periods * self.period))
+
+    # ---- lives
+
+    def start(self, name: str) -> None:
+        place = self.places[name]
+        self.starts += 1
+        place.alive, place.paused = True, False
+        place.inbox.clear()
+        addresses = {other.name: other.address for other in self.places.values()}
+        place.member = self.make(name, addresses, self.period, self.now, self.chance.getrandbits(60), self.now,
+                                 lambda now, change, name=name: self.changes.append((now, name, change)))
+        self.killed.pop(name, None)
+        self._pump(place)
+
+    def kill(self, name: str) -> None:
+        place = self.places[name]
+        place.alive = False
+        place.wake_at = 0
+        self.killed[name] = self.now
+
+    def leave(self, name: str) -> None:
+        place = self.places[name]
+        place.member.leave(self.now)
+        self._flush(place)
+        place.alive = False
+        place.wake_at = 0
+
+    def pause(self, name: str, span: int) -> None:
+        place = self.places[name]
+        place.paused = True
+        self._unsound(place, self.now + span)
+        self.at(self.now + span, self._resume, place, place.member)
+
+    def _resume(self, place: Place, member: Any) -> None:
+        if place.alive and place.paused and place.member is member:
+            place.paused = False
+            member.tick(self.now)            # timers that are due come first, as in the loop
+            while place.inbox:
+                member.hear(self.now, *place.inbox.popleft())
+            self._pump(place)
+
+    def _unsound(self, place: Place, until: int) -> None:
+        place.unsound_until = max(place.unsound_until, until)
+        self.fault_until = max(self.fault_until, until)
+
+    def cut(self, key: str, predicate: Callable[[str, str], bool], span: int, unsound: tuple[str, ...] = ()) -> None:
+        """`unsound`: members of whom nobody can tell during the cut that they are well."""
+        self.links.cuts[key] = predicate
+        self.at(self.now + span, self._heal, key)
+        self.fault_until = max(self.fault_until, self.now + span)
+        for name in unsound:
+            self._unsound(self.places[name], self.now + span)
+
+    def _heal(self, key: str) -> None:
+        self.links.cuts.pop(key, None)
+
+    # ---- passing on
+
+    def _pump(self, place: Place) -> None:
+        self._flush(place)
+        due = max(place.member.due(), self.now)
+        if due < 1 << 61 and (not place.wake_at or due < place.wake_at):
+            place.wake_at = due
+            self.at(due + place.slow, self._wake, place, place.member, due)
+
+    def _wake(self, place: Place, member: Any, due: int) -> None:
+        if not place.alive or place.member is not member or place.wake_at != due:
+            return
+        place.wake_at = 0
+        if not place.paused:
+            member.tick(self.now)
+            self._pump(place)
+
+    def _flush(self, place: Place) -> None:
+        member = place.member
+        out, member.out = member.out, []
+        for address, data in out:
+            target = self.by_address.get(address)
+            if target is None or not self.links.open(place.name, target.name) or self.links.lost(place.name, target.name):
+                continue
+            self.at(self.now + self.links.took() + target.slow, self._arrive, target, data, place.address)
+            if self.links.doubled and self.chance.random() < self.links.doubled:
+                self.at(self.now + self.links.took(), self._arrive, target, data, place.address)
+        wishes, member.wishes = member.wishes, []
+        for wish in wishes:
+            self._stream(place, member, wish)
+
+    def _arrive(self, place: Place, data: bytes, source: Address) -> None:
+        if not place.alive:
+            return
+        if place.paused:
+            place.inbox.append((data, source))
+            return
+        place.member.hear(self.now, data, source)
+        self._pump(place)
+
+    def _stream(self, place: Place, member: Any, wish: Any) -> None:
+        target = self.by_address.get(wish.address)
+        if target is None:
+            return
+        there = self.links.stream_took(place.name, target.name)
+        back = self.links.stream_took(target.name, place.name)
+        if there is not None and back is not None:
+            dial = DIAL_LOST if self.links.lost(place.name, target.name) else 0
+            self.at(self.now + 2 * there + back + dial + target.slow, self._stream_there, place, member, target, wish.data)
+
+    def _stream_there(self, place: Place, member: Any, target: Place, data: bytes) -> None:
+        if not target.alive or target.paused:
+            return
+        answer = target.member.hear_stream(self.now, data)
+        self._pump(target)
+        back = self.links.stream_took(target.name, place.name)
+        if answer is not None and back is not None:
+            self.at(self.now + back + place.slow, self._stream_back, place, member, answer)
+
+    def _stream_back(self, place: Place, member: Any, data: bytes) -> None:
+        if place.alive and not place.paused and place.member is member:
+            member.hear_stream(self.now, data)
+            self._pump(place)
+
+    # ---- what is to hold
+
+    def sound(self, name: str, at: int) -> bool:
+        place = self.places[name]
+        return place.alive and not place.paused and at > place.unsound_until
+
+    def living(self) -> list[str]:
+        return [place.name for place in self.places.values() if place.alive and not place.paused]
+
+    def views(self) -> dict[str, tuple]:
+        """As those hold them who are alive: what each says of each."""
+        return {name: tuple(sorted(self.places[name].member.roll.view().items())) for name in self.living()}
+
+    def alike(self) -> bool:
+        return len(set(self.views().values())) <= 1
+
+    def true(self) -> list[str]:
+        """What is wrong in any living member's view now, once faults are long over."""
+        wrong = []
+        for name in self.living():
+            states = self.places[name].member.roll.states
+            for place in self.places.values():
+                here = place.alive and not place.paused
+                if here and states[place.name] != ALIVE or not here and place.name in self.killed and states[place.name] != DEAD:
+                    wrong.append(f"{name} holds {place.name} for {states[place.name]}")
+        return wrong
+
+
+def wrong_removals(crowd: Crowd) -> list[tuple[int, str, Change]]:
+    """Verdicts agreed on by most against a member that was alive and sound all the while it took to find them."""
+    found = []
+    for at, who, change in crowd.changes:
+        if change.after == DEAD and change.agreed:
+            place = crowd.places[change.name]
+            if change.name not in crowd.killed and place.alive and at > place.unsound_until + 12 * crowd.period:
+                found.append((at, who, change))
+    return found
