--- a/cedarshift/gossip/member.py
+++ b/cedarshift/gossip/member.py
@@ -19,11 +19,11 @@
 Address = tuple[str, int]
 
 # Constants: unit, then the reason for the size.
-RETELL = 3                # times log2 of the members that a record is told on: epidemics need a few
-TOLD_LEAST = 6            # times, in the smallest fleets
+TOLD_LEAST = 6            # times that a record is told on in the smallest fleet, with some lost
+TOLD_MORE = 0.5           # times log2 of the members more: an epidemic needs few where each tells six others
 LOOKS = 4                 # times a period that the roll is looked at, at most, where nothing is due sooner
-VOUCH_PART = 1.5          # periods for which an answered probe is good for a voucher
-VOUCH_AGAIN = VOUCHER_FOR / 2   # periods after which a voucher is given anew while reports stand
+VOUCH_PART = 2.5          # periods that an answered probe is good for a voucher: a slow one answers late, and a report takes three
+VOUCH_AGAIN = VOUCHER_FOR / 3   # periods after which a voucher is given anew while reports stand
 UNLIKE_FOR = 3.0          # periods that a peer's digest may differ from one's own before everything is exchanged
 EXCHANGE_EVERY = 2.0      # periods between two exchanges begun by one member
 EXCHANGE_WITHIN = 1.0     # periods that one may take
@@ -95,13 +95,13 @@
         self.incarnation = 0
         self.on_change = on_change
         self.roll = Roll(me, addresses, period)
-        self.detector = Detector(period, self.chance, now + self.chance.draw(period), self._usable)
+        self.detector = Detector(period, self.chance, now + self.chance.draw(period), self._usable, self._vouchers)
         self.routes = {name: Routes(address, None) for name, address in addresses.items()}
         self.windows: dict[str, Window] = {}
         self.out: list[tuple[Address, bytes]] = []
         self.wishes: list[Wish] = []
         self.queue: OrderedDict[tuple, int] = OrderedDict()   # what is still to be told -> how often
-        self.told_times = max(TOLD_LEAST, RETELL * math.ceil(math.log2(len(addresses) + 1)))
+        self.told_times = TOLD_LEAST + math.ceil(TOLD_MORE * math.log2(len(addresses) + 1))
         self.seq = 0
         self.edge_seq = 0
         self.helping: dict[int, Help] = {}
@@ -112,6 +112,7 @@
         self.exchange_at = now
         self.reach_at = now
         self.look_at = now
+        self.vouch_at = 1 << 62              # when reports that stand are looked at again for what this one hears
         self.answers: list[int] = []         # when verdicts on this member were answered
         self.answer_at: Optional[int] = None
         self.young = True                    # nobody has answered this life yet
@@ -131,7 +132,8 @@
         """When `tick` is wanted next."""
         if self.superseded or self.left:
             return 1 << 62
-        times = [self.detector.due(), self.reach_at, max(self.look_at, self.roll.look_at)]
+        times = [self.detector.due(), self.reach_at, max(self.look_at, 0 if self.roll.stale else min(
+            self.roll.look_at, self.vouch_at))]
         if self.helping:
             times.append(min(h.sent for h in self.helping.values()) + int(NACK_PART * self.period))
         if self.answer_at is not None:
@@ -152,12 +154,12 @@
             self._reach_out(now)
         if self.answer_at is not None and now >= self.answer_at:
             self._answer_verdict(now)
-        if now >= max(self.look_at, 0) and (self.roll.stale or now >= self.roll.look_at):
+        if now >= self.look_at and (self.roll.stale or now >= min(self.roll.look_at, self.vouch_at)):
             self._look(now)
 
     def _look(self, now: int) -> None:
         self.look_at = now + self.period // LOOKS
-        self._vouch(now)
+        self.vouch_at = now + self.period if self._vouch(now) else 1 << 62
         changes = self.roll.look(now, self.detector.health)
         for change in changes:
             self.counts["changes"] += 1
@@ -177,6 +179,10 @@
     def _usable(self) -> list[str]:
         return [name for name in self.roll.names if name != self.me and self.roll.usable(name)]
 
+    def _vouchers(self, subject: str) -> list[str]:
+        return [observer for observer, edge in self.roll.edges.get(subject, {}).items()
+                if edge.hears and observer != self.me and self.roll.usable(observer)]
+
     # ---- what is found
 
     def _report(self, now: int, found: Found) -> None:
@@ -188,11 +194,13 @@
         if self.roll.merge_edge(now, self.me, found.subject, edge):
             self._queue(("e", self.me, found.subject))
 
-    def _vouch(self, now: int) -> None:
-        """For those whom others report and this one hears."""
+    def _vouch(self, now: int) -> bool:
+        """For those whom others report and this one hears; whether anyone is reported."""
+        reported = False
         for name, edges in list(self.roll.edges.items()):
-            if name == self.me or all(edge.hears for edge in edges.values()):
+            if name == self.me or self.roll.states[name] == DEAD or all(edge.hears for edge in edges.values()):
                 continue
+            reported = True
             heard = self.detector.heard_at(name)
             own = edges.get(self.me)
             if heard is None or now - heard > VOUCH_PART * self.period:
@@ -201,6 +209,7 @@
             fits = own is not None and word is not None and own[5:] == (word.start, word.incarnation) and own[3] == self.incarnation
             if own is None or not fits or not own.hears or heard - own.at >= VOUCH_AGAIN * self.period:
                 self._report(now, Found(name, True, heard))
+        return reported
 
     def _answer_verdict(self, now: int) -> None:
         """A verdict on this member, which it has put off answering where it had to before."""
@@ -259,9 +268,11 @@
 
     def _body(self, now: int, kind: int, to: str, nonce: int, about: str = "") -> Body:
         self.seq += 1
-        body = Body(kind, self.me, self.start, self.incarnation, self.seq, nonce, about, self.roll.digest)
+        body = Body(kind, self.me, self.start, self.incarnation, self.seq, nonce, about, self._digest())
         room = BODY_ROOM - len(self.me) - len(about)
         chosen: dict[tuple, None] = {}
+        subject = self.detector.subjects.get(to)
+        heard = subject is None or not subject.missed   # what may be lost in a cut is not told yet
         for key in self._about(to):
             room -= self._size(key)
             chosen[key] = None
@@ -273,7 +284,8 @@
                 continue
             room -= size
             chosen[key] = None
-            self._told(key)
+            if heard:
+                self._told(key)
         for key in chosen:
             self._put(body, key, now)
         return body
@@ -458,8 +470,8 @@
 
     def _compare(self, now: int, body: Body) -> None:
         """A peer whose picture stays another one is asked for all of it."""
-        if self.roll.digest != self.digest:
-            self.digest, self.digest_since = self.roll.digest, now
+        if self._digest() != self.digest:
+            self.digest, self.digest_since = self._digest(), now
         if body.digest == self.digest:
             self.unlike.pop(body.sender, None)
             return
@@ -470,6 +482,10 @@
             self.unlike.clear()
             self._exchange(now, body.sender)
 
+    def _digest(self) -> int:
+        """Of all that has to be alike at all: words, verdicts, and the reports that stand."""
+        return self.roll.digest ^ self.roll.silences
+
     def _exchange(self, now: int, name: str) -> None:
         address = self._route(name, now)
         if address is None:
@@ -482,7 +498,7 @@
     def whole(self, now: int, kind: int) -> bytes:
         """All that is known, as one frame."""
         self.seq += 1
-        body = Body(kind, self.me, self.start, self.incarnation, self.seq, 0, "", self.roll.digest)
+        body = Body(kind, self.me, self.start, self.incarnation, self.seq, 0, "", self._digest())
         body.words = [WordOf(name, *word) for name, word in self.roll.words.items()]
         body.edges = [self._edge_of(observer, subject, edge, now) for subject, edges in self.roll.edges.items()
                       for observer, edge in edges.items()]
