--- a/cedarshift/judge/roll.py
+++ b/cedarshift/judge/roll.py
@@ -31,6 +31,8 @@
 TORN_LEAST = 3            # members, so that a single link that fails is none of it
 TORN_PATIENCE = 4.0       # times the patience while it is so
 TORN_VOUCHER = 2.5        # times that a proof of life stands: it is that much older when it has come by many hands
+UPGRADE_AFTER = 6.0       # periods that a side has to be most before what it found as a minority counts as agreed
+WEAK_AFTER = 2.0          # periods of reports and no voucher after which a member's own reports count for nothing, however few say so
 REPORTS_LEAST = 2         # observers, where there are so many: one alone may be the faulty one
 
 ALIVE, SUSPECT, CUT, DEAD, LEFT, UNHEARD = "alive", "suspect", "cut", "dead", "left", "unheard"
@@ -137,6 +139,7 @@
         self.newest_report = -10 ** 18
         self.digest = 0                                  # of all words and verdicts
         self.silences = 0                                # of all silent edges that stand, as of the last look
+        self.most_since: Optional[int] = None            # since when this side is most of the configured
         self.stale = True                                # something was merged since the last look
         self.look_at = 0
 
@@ -238,11 +241,13 @@
         torn = mixed >= max(TORN_LEAST, TORN_PART * len(here))
         good_for = VOUCHER_FOR * self.period * (TORN_VOUCHER if torn else 1.0)
         vouched = fresh(good_for)
-        weak = {name for name, some in silent.items() if not vouched[name] and len(some) >= max(
-            REPORTS_LEAST, math.ceil(len(self.rings.observers(name, self.usable)) / 2))}
+        weak = {name for name, some in silent.items() if not vouched[name] and len(some) >= REPORTS_LEAST
+                and (2 * len(some) >= len(self.rings.observers(name, self.usable))
+                     or now - self.since.get(name, now) >= WEAK_AFTER * self.period)}
         reported = {name: some - weak for name, some in silent.items()}
         # Who is reported and vouched for by nobody may be on the other side of a cut that is just being found.
         side = sum(name == self.me or not silent.get(name) or bool(vouched.get(name)) for name in here)
+        self.most_since = (now if self.most_since is None else self.most_since) if 2 * side > len(self.names) else None
         slowly = (1 + health / 2) * (TORN_PATIENCE if torn else 1.0)
         evidence: dict[str, tuple[tuple[str, ...], tuple[str, ...]]] = {}
         for name in self.names:
@@ -273,6 +278,9 @@
             self.since.pop(name, None)
         if not reporters or word.left or (dead is not None and (not agreed or 2 * dead.side > len(self.names))):
             return
+        if dead is not None and self.most_since is not None and now - self.most_since < UPGRADE_AFTER * self.period:
+            self._look_again(math.ceil(self.most_since + UPGRADE_AFTER * self.period))
+            return
         first = self.since.setdefault(name, now)
         observers = set(self.rings.observers(name, self.usable)) - weak | reporters
         share = len(reporters) / len(observers)
