--- a/cedarshift/cli/daemons.py
+++ b/cedarshift/cli/daemons.py
@@ -9,9 +9,10 @@
 from cedarshift.codec import Badge
 from cedarshift.deployment import Deployment, FileRefused, load
 from cedarshift.deployment.deployment import changes
+from cedarshift.gossip.service import Membership, MembershipTerms
 from cedarshift.loop import Loop, listen
 from cedarshift.loop.core import Coroutine, Task
-from cedarshift.loop.epoll import Signals, fresh_bytes, real_loop
+from cedarshift.loop.epoll import Signals, fresh_bytes, real_loop, wall_clock
 from cedarshift.pilot import PilotService
 from cedarshift.pilot.admin import admin_page
 from cedarshift.roster.formats import Member
@@ -88,6 +89,18 @@
     return new
 
 
+def open_membership(loop: Loop, deployment: Deployment, name: str, report: Report) -> Optional[Membership]:
+    """None where the deployment has no block membership. A life's start is the wall clock at its begin with some chance, so that
+    two of one name differ; where the clock has gone back, the later life takes a higher one from what the others tell."""
+    plan = deployment.membership
+    if plan is None:
+        return None
+    addresses = {place.name: place.gossip for place in deployment.pilots if place.gossip is not None}
+    drawn = int.from_bytes(fresh_bytes(8), "big")
+    start = wall_clock() // 1000 << 20 | drawn & 0xFFFFF
+    return Membership(loop, MembershipTerms(plan.period, addresses), name, deployment.name, deployment.secret, start, drawn, report)
+
+
 def run_pilot(deployment: Deployment, name: str, report: Report) -> int:
     loop = real_loop(report)
     signals = Signals(loop, loop.network, [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])  # type: ignore[arg-type]
@@ -97,6 +110,7 @@
     seed = int.from_bytes(fresh_bytes(8), "big")
     service = PilotService(loop, listen(loop, place.listen), deployment, name, seed, report,
                            lambda: fresh_bytes(CHALLENGE))
+    service.membership = open_membership(loop, deployment, name, report)
     if place.admin is not None:
         loop.spawn(serve_http(loop, listen(loop, place.admin), admin_page(service)), "admin")
     report("pilot_serves", address=place.listen, proxies_most=deployment.proxies_most)
@@ -108,6 +122,8 @@
 
     def main() -> Coroutine:
         code = yield from _until_stopped(loop, signals, reload, store.tasks[0] if store else None)
+        if service.membership is not None:
+            service.membership.leave()
         service.stop()
         yield from loop.sleep(LAST_WORDS)
         if store is not None:
--- a/cedarshift/cli/main.py
+++ b/cedarshift/cli/main.py
@@ -245,10 +245,12 @@
 @click.argument("file", type=click.Path())
 @click.argument("name")
 @click.option("--json", "as_json", is_flag=True, help="As JSON.")
-def members(file: str, name: str, as_json: bool) -> None:
+@click.option("--pilots", is_flag=True, help="The roll of the pilots in its place: who is alive, since when, who hears whom.")
+def members(file: str, name: str, as_json: bool, pilots: bool) -> None:
     """Where the running pilot NAME has its list from, what it sees there, and how old that is."""
-    from cedarshift.cli.tables import fetch, shown_members
-    click.echo(_asked(file, name, fetch, "/members", None if as_json else shown_members))
+    from cedarshift.cli.tables import fetch, shown_members, shown_pilots
+    click.echo(_asked(file, name, fetch, "/pilots" if pilots else "/members",
+                      None if as_json else shown_pilots if pilots else shown_members))
 
 
 @main.command()
--- a/cedarshift/cli/tables.py
+++ b/cedarshift/cli/tables.py
@@ -63,6 +63,28 @@
     return "\n".join(out)
 
 
+def shown_pilots(raw: bytes) -> str:
+    """The roll of the pilots as one of them holds it."""
+    held: dict[str, Any] = msgspec.json.decode(raw)
+    if not held:
+        return "the pilots keep no roll of each other: the deployment has no block membership"
+    out = [f"pilot {held['me']}, {held['side']} of {held['configured']} configured pilots on its side"
+           + ("" if 2 * held["side"] > held["configured"] else " (NOT MOST: what it holds for dead may live elsewhere)"),
+           f"period {held['period_s']:g} s, own health {held['health']} (0 is well)"
+           + (", SUPERSEDED by a later life of its name" if held["superseded"] else ""), "",
+           f"{'pilot':<16} {'state':<8} {'for s':>8} {'incarnation':>11}  silent to / heard by"]
+    for row in held["members"]:
+        since = f"{row['since_s']:.1f}" if row["since_s"] is not None else "-"
+        edges = "; ".join(f"{word} {', '.join(row[key])}" for word, key in (("silent to", "silent_to"), ("heard by", "heard_by"))
+                          if row[key])
+        out.append(f"{row['name']:<16} {row['state']:<8} {since:>8} {row['incarnation']:>11}  {edges}")
+    dropped = {name: count for name, count in held["counts"].items() if name.startswith("dropped_") and count}
+    out += ["", "datagrams sent {datagrams_sent}, heard {datagrams_heard}, held back by the cap {capped}".format(**held["counts"])]
+    if dropped:
+        out.append("dropped: " + ", ".join(f"{name[8:]} {count}" for name, count in dropped.items()))
+    return "\n".join(out)
+
+
 def shown_members(raw: bytes) -> str:
     """The source of the list, its nodes, and what the module was told."""
     held: dict[str, Any] = msgspec.json.decode(raw)
--- a/cedarshift/deployment/deployment.py
+++ b/cedarshift/deployment/deployment.py
@@ -3,7 +3,7 @@
 
 import os
 from dataclasses import dataclass
-from typing import Any, Optional
+from typing import Any, Callable, Optional
 
 from cedarshift.codec.zookeeper.jute import check_path
 from cedarshift.deployment import hcl
@@ -31,6 +31,13 @@
     listen: Address
     admin: Optional[Address]
     zone: str
+    gossip: Optional[Address] = None
+
+
+@dataclass(frozen=True)
+class MembershipPlan:
+    """Where it stands, pilots keep a roll of each other. `period` in us."""
+    period: int
 
 
 @dataclass(frozen=True)
@@ -140,6 +147,7 @@
     proxy: ProxyTerms
     rules: Guarantees
     learn: Optional[LearnTerms] = None
+    membership: Optional[MembershipPlan] = None
 
     def beside(self, path: str) -> str:
         """A path of the file, which counts from the folder that the file lies in."""
@@ -158,7 +166,9 @@
     "earnings": (hcl.number(), 1.0), "late_share": (hcl.number(0, 1), 0.0),
     "repeats": (hcl.choice("retryable", "deduplicated", "once-only"), MUST), "writes": (hcl.flag, False),
     "own_zone": (hcl.flag, False)})
-PILOT = Shape({"listen": (hcl.address, MUST), "admin": (hcl.address, None), "zone": (hcl.text, "")})
+PILOT = Shape({"listen": (hcl.address, MUST), "admin": (hcl.address, None), "zone": (hcl.text, ""),
+               "gossip": (hcl.address, None)})
+MEMBERSHIP = Shape({"period": (hcl.span(50_000, 60_000_000), 1_000_000)})
 STORE = Shape({
     "listen": (hcl.address, MUST), "path": (hcl.text, MUST), "embedded": (hcl.flag, False),
     "session_lease": (hcl.span(100_000), 2_000_000), "takeover": (hcl.span(), 500_000),
@@ -197,7 +207,7 @@
     {"op_type": (OP_TYPE, 1, 1, 64), "pilot": (PILOT, 1, 1, 64), "store": (STORE, 0, 0, 1), "list": (LIST, 0, 0, 1),
      "roster": (ROSTER, 1, 0, 1),
      "channel": (CHANNEL, 0, 0, 1), "proxy": (PROXY, 0, 1, 1), "rules": (RULES, 0, 0, 1),
-     "learn": (LEARN, 0, 0, 1)})
+     "learn": (LEARN, 0, 0, 1), "membership": (MEMBERSHIP, 0, 0, 1)})
 FILE = Shape({}, {"deployment": (DEPLOYMENT, 1, 1, 1)})
 
 
@@ -236,7 +246,8 @@
         single_owner=body["single_owner"] and body["slices"] > 0, pick=body["pick"], levels=body["levels"],
         intake_per_s=body["intake_per_s"], proxies_most=body["proxies_most"], secret=secret, op_types=ops,
         pilots=pilots, store=store, listed=listed,
-        channel=Channel(**_only(body, "channel", CHANNEL).values), proxy=proxy, rules=rules, learn=_learn(body))
+        channel=Channel(**_only(body, "channel", CHANNEL).values), proxy=proxy, rules=rules, learn=_learn(body),
+        membership=MembershipPlan(**body.blocks["membership"][0].values) if body.blocks["membership"] else None)
 
 
 def _learn(body: Checked) -> Optional[LearnTerms]:
@@ -345,6 +356,7 @@
         for name in block["from"]:
             if name not in {place.name for place in pilots}:
                 wrong(block.lines["from"], f"from names {name!r}, which is no pilot")
+    _agree_on_gossip(body, pilots, wrong)
     doors: dict[Address, str] = {}
     doors_wanted: list[tuple[Optional[Address], str, int]] = []
     for place, block in zip(pilots, body.blocks["pilot"]):
@@ -358,6 +370,23 @@
             doors[door] = who
 
 
+def _agree_on_gossip(body: Checked, pilots: tuple[PilotPlace, ...], wrong: Callable[[int, str], None]) -> None:
+    """All pilots have an address for it, or none has; no two the same one. Datagrams and streams share its port."""
+    planned = bool(body.blocks["membership"])
+    seen: dict[Address, str] = {}
+    for place, block in zip(pilots, body.blocks["pilot"]):
+        if planned and place.gossip is None:
+            wrong(block.line, f"pilot {place.name!r} has no gossip address, which the block membership asks for")
+        if place.gossip is not None and not planned:
+            wrong(block.lines["gossip"], "gossip has no meaning without a block membership")
+        if place.gossip is not None and place.gossip in seen:
+            wrong(block.lines["gossip"], f"gossip of {place.name!r} is that of {seen[place.gossip]!r} too")
+        if place.gossip is not None:
+            seen[place.gossip] = place.name
+            if place.gossip in (place.listen, place.admin):
+                wrong(block.lines["gossip"], f"gossip of {place.name!r} is its listen or admin address")
+
+
 def body_transit(body: Checked) -> int:
     return _only(body, "channel", CHANNEL)["transit_most"]
 
--- a/cedarshift/deployment/render.py
+++ b/cedarshift/deployment/render.py
@@ -26,6 +26,8 @@
     for kind, shape, body in (("channel", CHANNEL, d.channel), ("proxy", PROXY, d.proxy),
                               ("rules", RULES, d.rules)):
         out += _block(kind, shape, body)
+    if d.membership is not None:
+        out += ["  membership {", f'    period = "{d.membership.period}us"', "  }"]
     if d.learn is not None:
         out += _learn(d.learn)
     return "\n".join(out + ["}", ""])
--- /dev/null
+++ b/cedarshift/loop/datagram.py
@@ -0,0 +1,85 @@
+"""Datagrams with limits, over whatever port the network hands out.
+
+A port is non-blocking: `recv() -> (bytes, address) | None`, `send(data, address) -> bool` (False: no room now, the datagram is
+lost, as it may be anywhere), `address`, `close()`, `watch(call)` as a pipe's. Readiness is told by edges.
+"""
+from __future__ import annotations
+
+from typing import Any, Callable, Optional, Protocol
+
+from cedarshift.loop.core import Coroutine, Loop, Waker
+
+DATAGRAM_MOST = 65_507    # bytes: what UDP over IPv4 can carry
+TAKEN_A_STEP = 64         # datagrams without a pause; a flood must not hold the loop
+
+
+class Port(Protocol):
+    address: tuple[str, int]
+
+    def recv(self) -> Optional[tuple[bytes, tuple[str, int]]]: ...
+    def send(self, data: bytes, address: tuple[str, int]) -> bool: ...
+    def watch(self, call: Callable[[bool, bool, bool], None]) -> None: ...
+    def close(self) -> None: ...
+
+
+class Datagrams:
+    """One address's datagrams; one task receives at a time. Longer ones than `most` bytes are dropped and counted."""
+
+    def __init__(self, loop: Loop, port: Port, most: int) -> None:
+        self.loop = loop
+        self.port = port
+        self.most = most
+        self.readable = True
+        self.reader: Optional[Waker] = None
+        self.taken = 0
+        self.closed = False
+        self.counts = {"sent": 0, "unsent": 0, "heard": 0, "too_long": 0}
+        port.watch(self._ready)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.port.address
+
+    def receive(self, until: Optional[int] = None) -> Coroutine:
+        """The next datagram and where it came from. Raises TimedOut at `until`."""
+        self.taken += 1
+        if self.taken > TAKEN_A_STEP:
+            self.taken = 0
+            yield from self.loop.breathe()
+        while True:
+            got = self.port.recv() if self.readable and not self.closed else None
+            if got is None:
+                self.readable = False
+                self.taken = 0
+                self.reader = self.loop.waker()
+                try:
+                    yield from self.loop.park(until)
+                finally:
+                    self.reader = None
+            elif len(got[0]) > self.most:
+                self.counts["too_long"] += 1
+            else:
+                self.counts["heard"] += 1
+                return got
+
+    def send(self, data: bytes, address: tuple[str, int]) -> None:
+        """Sent, or lost: nothing waits."""
+        sent = not self.closed and self.port.send(data, address)
+        self.counts["sent" if sent else "unsent"] += 1
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.port.close()
+
+    def _ready(self, readable: bool, writable: bool, hung: bool) -> None:
+        if readable:
+            self.readable = True
+            if self.reader is not None:
+                self.reader.wake()
+
+
+def datagrams(loop: Loop, address: tuple[str, int], most: int = DATAGRAM_MOST) -> Datagrams:
+    """Opens a port for datagrams; port 0 takes any. Raises OSError where the address is taken."""
+    network: Any = loop.network
+    return Datagrams(loop, network.datagrams(address), most)
--- a/cedarshift/loop/epoll.py
+++ b/cedarshift/loop/epoll.py
@@ -87,6 +87,48 @@
         return SocketAttempt(self, sock, result == 0)
 
 
+    def datagrams(self, address: tuple[str, int]) -> SocketPort:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.bind(address)
+        except OSError as error:
+            sock.close()
+            raise OSError(error.errno, f"{address[0]}:{address[1]}: {error.strerror}") from None
+        sock.setblocking(False)
+        return SocketPort(self, sock)
+
+
+class SocketPort:
+    """Datagrams of one address. What the kernel has no room for is lost; a peer that refuses them is none of the port's matter."""
+
+    def __init__(self, network: EpollNetwork, sock: socket.socket) -> None:
+        self.network = network
+        self.sock = sock
+        self.address = sock.getsockname()
+
+    def recv(self) -> Optional[tuple[bytes, tuple[str, int]]]:
+        while True:
+            try:
+                return self.sock.recvfrom(65_536)
+            except (BlockingIOError, InterruptedError):
+                return None
+            except ConnectionRefusedError:     # an earlier datagram found nobody; the next read may bring one
+                continue
+
+    def send(self, data: bytes, address: tuple[str, int]) -> bool:
+        try:
+            return self.sock.sendto(data, address) == len(data)
+        except OSError:
+            return False
+
+    def watch(self, call: Callable[[bool, bool, bool], None]) -> None:
+        self.network.register(self.sock.fileno(), call)
+
+    def close(self) -> None:
+        self.network.forget(self.sock.fileno())
+        self.sock.close()
+
+
 class SocketPipe:
     def __init__(self, network: EpollNetwork, sock: socket.socket) -> None:
         self.network = network
--- a/cedarshift/loop/memory.py
+++ b/cedarshift/loop/memory.py
@@ -6,13 +6,18 @@
 from __future__ import annotations
 
 import errno
+import functools
 import heapq
+import random
 from collections import deque
 from typing import Any, Callable, Optional, Protocol
 
 Call = Callable[[bool, bool, bool], None]
+Address = tuple[str, int]
 
 HOLDS = 65_536            # bytes on the way in one direction, as in a small socket buffer
+WAITING_MOST = 256        # datagrams that wait to be read, as in a socket's buffer
+RESENT = 200_000          # us; a piece of a stream that is lost comes so much later
 
 
 class Owner(Protocol):
@@ -39,10 +44,27 @@
         return self.time
 
 
-class MemoryNetwork:
-    """`delay(source, target)` gives the microseconds of one way; `refuse` holds addresses that do not answer."""
+class Way:
+    """What befalls what one host sends to another; the way back has a state of its own. Shares are from 0 to 1."""
+
+    def __init__(self, loss: float = 0.0, delay: int = 0, jitter: int = 0, doubled: float = 0.0, cut: bool = False) -> None:
+        self.loss = loss
+        self.delay = delay                   # us, beside the network's own
+        self.jitter = jitter                 # us at most, drawn for each datagram by itself: they overtake each other
+        self.doubled = doubled
+        self.cut = cut                       # datagrams are lost; bytes of streams wait until it is mended
 
-    def __init__(self, clock: VirtualClock, delay: Optional[Callable[[], int]] = None) -> None:
+
+class MemoryNetwork:
+    """`delay(source, target)` gives the microseconds of one way; `refuse` holds addresses that do not answer. `ways` holds what
+    is wrong between hosts, by (source, target); `chance` draws it."""
+
+    def __init__(self, clock: VirtualClock, delay: Optional[Callable[[], int]] = None,
+                 chance: Optional[random.Random] = None) -> None:
+        self.chance = chance or random.Random(0)
+        self.ways: dict[tuple[str, str], Way] = {}
+        self.held: dict[tuple[str, str], list[Callable[[], None]]] = {}   # what waits in a stream for a cut to be mended
+        self.ports: dict[Address, MemoryPort] = {}
         self.clock = clock
         self.delay = delay or (lambda: 100)
         self.doors: dict[tuple[str, int], MemoryDoor] = {}
@@ -74,6 +96,31 @@
         else:
             self.clock.time = limit
 
+    def way(self, source: Optional[Owner], target: Optional[Owner]) -> Optional[Way]:
+        if not self.ways:
+            return None
+        return self.ways.get((getattr(source, "name", ""), getattr(target, "name", "")))
+
+    def set_way(self, source: str, target: str, way: Optional[Way]) -> None:
+        """From now on; None for sound. What waited for a cut passes on, in its order."""
+        if way is None:
+            self.ways.pop((source, target), None)
+        else:
+            self.ways[source, target] = way
+        if way is None or not way.cut:
+            for call in self.held.pop((source, target), []):
+                self.later(self.delay(), call)
+
+    def datagrams(self, address: Address, owner: Optional[Owner] = None) -> MemoryPort:
+        host, port = address
+        if not port:
+            self.next_port += 1
+            port = self.next_port
+        if (host, port) in self.ports:
+            raise OSError(errno.EADDRINUSE, f"{host}:{port}: address already in use")
+        made = self.ports[host, port] = MemoryPort(self, (host, port), owner)
+        return made
+
     def listen(self, address: tuple[str, int], owner: Optional[Owner] = None) -> MemoryDoor:
         host, port = address
         if not port:
@@ -136,6 +183,14 @@
         return len(data)
 
     def _reach(self, peer: MemoryPipe, call: Callable[[], None]) -> None:
+        way = self.network.way(self.owner, peer.owner)
+        if way is not None and way.cut:
+            key = (getattr(self.owner, "name", ""), getattr(peer.owner, "name", ""))
+            self.network.held.setdefault(key, []).append(call)
+            return
+        if way is not None:
+            lost = RESENT if self.network.chance.random() < way.loss else 0
+            peer.arrives = max(peer.arrives, self.network.clock.time + way.delay + lost)
         at = max(peer.arrives, self.network.clock.time + self.network.delay())
         peer.arrives = self.network.later(at - self.network.clock.time, call)
 
@@ -166,6 +221,49 @@
                 side._tell(True, True)
 
 
+class MemoryPort:
+    """Datagrams of one address: lost, late, doubled and out of order as its ways say."""
+
+    def __init__(self, network: MemoryNetwork, address: Address, owner: Optional[Owner] = None) -> None:
+        self.network = network
+        self.address = address
+        self.owner = owner
+        self.inbox: deque[tuple[bytes, Address]] = deque()
+        self.call: Optional[Call] = None
+        self.closed = False
+
+    def recv(self) -> Optional[tuple[bytes, Address]]:
+        return self.inbox.popleft() if self.inbox else None
+
+    def send(self, data: bytes, address: Address) -> bool:
+        network = self.network
+        target = network.ports.get(address)
+        if self.closed or target is None:
+            return not self.closed
+        way, chance = network.way(self.owner, target.owner), network.chance
+        if way is not None and (way.cut or chance.random() < way.loss):
+            return True
+        for _ in range(2 if way is not None and chance.random() < way.doubled else 1):
+            late = 0 if way is None else way.delay + int(chance.random() * way.jitter)
+            network.later(network.delay() + late, functools.partial(target._arrive, data, self.address))
+        return True
+
+    def _arrive(self, data: bytes, source: Address) -> None:
+        if self.closed or len(self.inbox) >= WAITING_MOST or (self.owner is not None and not self.owner.alive):
+            return
+        self.inbox.append((data, source))
+        if self.call is not None:
+            _pass_on(self.owner, self.call, True, False, False)
+
+    def watch(self, call: Call) -> None:
+        self.call = call
+
+    def close(self) -> None:
+        self.closed = True
+        if self.network.ports.get(self.address) is self:
+            del self.network.ports[self.address]
+
+
 class MemoryDoor:
     def __init__(self, network: MemoryNetwork, address: tuple[str, int], owner: Optional[Owner] = None) -> None:
         self.network = network
@@ -199,6 +297,9 @@
         if self.owner is not None and not self.owner.alive:
             return
         door = self.network.doors.get(self.address)
+        for way in (self.network.way(self.owner, door.owner), self.network.way(door.owner, self.owner)) if door else ():
+            if way is not None and way.cut:
+                return                       # nothing answers: the dial runs into its limit
         if door is None or self.address in self.network.refuse:
             self.failed = True
         else:
--- a/cedarshift/loop/world.py
+++ b/cedarshift/loop/world.py
@@ -10,7 +10,7 @@
 from typing import Any, Callable, Optional
 
 from cedarshift.loop.core import Loop, Task
-from cedarshift.loop.memory import Call, MemoryAttempt, MemoryDoor, MemoryNetwork, MemoryPipe, VirtualClock
+from cedarshift.loop.memory import Call, MemoryAttempt, MemoryDoor, MemoryNetwork, MemoryPipe, MemoryPort, VirtualClock
 
 PIPES_LOOKED_OVER = 256   # closed pipes are forgotten whenever a host has come to hold so many more
 
@@ -37,6 +37,11 @@
     def dial(self, address: tuple[str, int]) -> MemoryAttempt:
         return self.network.dial(address, self.host)
 
+    def datagrams(self, address: tuple[str, int]) -> MemoryPort:
+        port = self.network.datagrams(address, self.host)
+        self.host.ports.append(port)
+        return port
+
 
 class Host:
     """One program's place. `alive` until it is killed or has stopped its loop."""
@@ -46,6 +51,7 @@
         self.name = name
         self.loop = Loop(world.clock, HostNetwork(self, world.network), report)
         self.doors: list[MemoryDoor] = []
+        self.ports: list[MemoryPort] = []
         self.pipes: list[MemoryPipe] = []
         self.look_over_at = PIPES_LOOKED_OVER
         self.alive = True
@@ -74,6 +80,8 @@
         self.missed.clear()
         for door in self.doors:
             door.close()
+        for port in self.ports:
+            port.close()
         for pipe in self.pipes:
             pipe.close()
         self.pipes.clear()
@@ -99,7 +107,7 @@
         self.chance = random.Random(seed)
         self.clock = VirtualClock()
         draw = delay or (lambda chance: 100 + chance.randrange(200))
-        self.network = MemoryNetwork(self.clock, lambda: draw(self.chance))
+        self.network = MemoryNetwork(self.clock, lambda: draw(self.chance), self.chance)
         self.hosts: dict[Host, Optional[int]] = {}   # living hosts -> when each has something to run
         self.roused: dict[Host, None] = {}           # those that have something now, in the order they came
         self.turns = 0
--- a/cedarshift/pilot/learning.py
+++ b/cedarshift/pilot/learning.py
@@ -94,7 +94,7 @@
         names = [name for name in names if name != self.service.name]
         at = 0
         while names and self.loop.now() < self.begun + self.terms.span:
-            name = names[at % len(names)]
+            name = self._lender(names, at)
             try:
                 yield from self._lesson(name)
                 yield from self.loop.sleep(self.terms.again)
@@ -105,6 +105,12 @@
             at += 1
             yield from self.loop.sleep(NEXT_LENDER)
 
+    def _lender(self, names: list[str], at: int) -> str:
+        """In turn; where there is a roll of the pilots, among those that live, the best heard first."""
+        membership = self.service.membership
+        living = [name for name in membership.living() if name in names] if membership is not None else []
+        return (living or names)[at % len(living or names)]
+
     def _lesson(self, name: str) -> Coroutine:
         """One lending from its first chunk, or from where it broke off, to its last."""
         service = self.service
--- a/cedarshift/pilot/service.py
+++ b/cedarshift/pilot/service.py
@@ -18,6 +18,7 @@
 from cedarshift.codec.frames import encode, encode_order, pack_rows
 from cedarshift.deployment import Deployment
 from cedarshift.deployment.deployment import NodeRoster
+from cedarshift.gossip.service import Membership
 from cedarshift.interface import Entry, pulled
 from cedarshift.judge.trust import Own, Word
 from cedarshift.link import Link, serve
@@ -112,6 +113,7 @@
         self.first_hand: set[str] = set()            # endpoints of which this pilot has had sums of its own
         self.rates: dict[int, float] = {}            # ops a second of a proxy, by its newest sums
         life = f"{name}#{seed:016x}"
+        self.membership: Optional[Membership] = None   # handed to it by whoever starts it, where the deployment has one
         self.lending: Optional[Lending] = Lending(self, life) if deployment.learn else None
         self.learning: Optional[Learning] = None
         self.source = self._source(deployment)
