--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,345 @@
+"""The roll, the detector, the sealed bodies and whole crowds on a virtual clock, without processes."""
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cedarshift.codec import gossip as g
+from cedarshift.codec.gossip import Body, NotOurs, Seal, WordOf
+from cedarshift.deployment import FileRefused, load
+from cedarshift.gossip.member import Member, Window
+from cedarshift.gossip.service import Membership, MembershipTerms
+from cedarshift.judge.chance import Lcg
+from cedarshift.judge.detector import HEALTH_MOST, MISSES, Detector
+from cedarshift.judge.roll import ALIVE, CUT, DEAD, LEFT, SUSPECT, Edge, Rings, Roll, Verdict, Word
+from cedarshift.loop import datagrams
+from cedarshift.loop.memory import Way
+from cedarshift.loop.world import World
+from cedarshift.rehearsal.crowd import Crowd, broken, play_day
+
+SECOND = 1_000_000
+NAMES = ["a", "b", "c", "d", "e"]
+SEAL = Seal("trial", b"a secret of sixteen")
+
+name = st.sampled_from(NAMES)
+number = st.integers(0, 3)
+record = st.one_of(
+    st.tuples(st.just("word"), name, st.builds(Word, number, st.booleans(), number)),
+    st.tuples(st.just("edge"), name, name, number, number, st.booleans(), number, number),
+    st.tuples(st.just("verdict"), name, st.builds(Verdict, number, number, st.integers(3, 5))))
+
+
+def merged(records):
+    """Edges of one observer with one number say the same, as a real observer's do."""
+    roll = Roll("a", NAMES, SECOND)
+    for one in records:
+        if one[0] == "word":
+            roll.merge_word(one[1], one[2])
+        elif one[0] == "verdict":
+            roll.merge_verdict(one[1], one[2])
+        else:
+            _, observer, subject, start, seq, hears, of, incarnation = one
+            draw = random.Random(f"{observer} {subject} {start} {seq}")
+            roll.merge_edge(0, observer, subject, Edge(start, seq, 0, draw.randrange(3), draw.random() < 0.5, draw.randrange(3),
+                                                       draw.randrange(3)))
+    roll._tidy()
+    return roll.words, roll.edges, roll.verdicts, roll.digest
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(record, max_size=24), st.randoms(use_true_random=False))
+def test_what_is_said_merges_to_the_same_in_any_order_and_however_often(records, chance):
+    mixed = records + chance.sample(records, len(records) // 2)
+    chance.shuffle(mixed)
+    assert merged(records) == merged(mixed)
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.lists(record, max_size=20), st.lists(record, max_size=20))
+def test_nothing_older_undoes_what_is_newer(first, later):
+    words, _, _, _ = merged(first)
+    after, _, _, _ = merged(first + later)
+    assert all(after[one] >= word for one, word in words.items())
+
+
+@pytest.mark.parametrize("count", [3, 9, 10, 40, 200])
+def test_observers_and_subjects_are_each_others(count):
+    names = [f"p{n}" for n in range(count)]
+    rings, gone = Rings(names), {"p1"}
+    usable = lambda one: one not in gone  # noqa: E731
+    for one in names:
+        for subject in rings.subjects(one, usable):
+            if one not in gone:
+                assert one in rings.observers(subject, usable)
+    assert all(2 <= len(rings.observers(one, usable)) <= 8 or count == 3 for one in names)
+
+
+def roll(me="a", names=NAMES):
+    made = Roll(me, names, SECOND)
+    for one in names:
+        made.merge_word(one, Word(1, False, 0))
+    made.look(0)
+    return made
+
+
+def say(made, now, observer, subject, hears, seq=1):
+    made.merge_edge(now, observer, subject, Edge(1, seq, now, 0, hears, 1, 0))
+
+
+@pytest.mark.parametrize("reporters, vouchers, after, state", [
+    ("a", "", 30, SUSPECT), ("abc", "", 0.5, SUSPECT), ("abcd", "", 1.5, DEAD), ("abc", "", 2.0, SUSPECT), ("abc", "", 4.0, DEAD),
+    ("ab", "", 30, SUSPECT), ("abc", "d", 3.0, CUT), ("a", "bcd", 3.0, CUT), ("", "bcd", 3.0, ALIVE)])
+def test_more_reports_end_a_suspicion_sooner_and_a_voucher_stops_it(reporters, vouchers, after, state):
+    made = roll()
+    for one in reporters:
+        say(made, SECOND, one, "e", False)
+    for one in vouchers:
+        say(made, SECOND, one, "e", True)
+    for step in range(int(after * 4) + 1):
+        made.look(SECOND + step * SECOND // 4)
+    assert made.states["e"] == state
+
+
+def test_a_verdict_is_agreed_only_where_most_stand_behind_it():
+    made = roll()
+    for subject in "cde":
+        for observer in "ab":
+            say(made, SECOND, observer, subject, False, seq=ord(subject))
+    changes = [change for step in range(80) for change in made.look(SECOND + step * SECOND // 4)]
+    assert {made.states[one] for one in "cde"} == {DEAD} and not made.verdicts
+    assert not any(change.agreed for change in changes if change.after == DEAD)
+
+
+def test_reports_of_one_that_is_given_up_itself_count_for_nothing():
+    made = roll()
+    for subject in "abc":
+        say(made, SECOND, "e", subject, False, seq=ord(subject))
+    for observer in "abcd":
+        say(made, SECOND, observer, "e", False)
+    for step in range(40):
+        made.look(SECOND + step * SECOND // 4)
+    assert made.states["e"] == DEAD and all(made.states[one] == ALIVE for one in "abcd")
+
+
+def test_a_higher_incarnation_answers_a_verdict_and_a_leaving_ends_a_life():
+    made = roll()
+    made.merge_verdict("e", Verdict(1, 0, 4))
+    made.look(1)
+    assert made.states["e"] == DEAD
+    made.merge_word("e", Word(1, False, 1))
+    made.look(2)
+    assert made.states["e"] == ALIVE and not made.merge_verdict("e", Verdict(1, 0, 5))
+    made.merge_word("e", Word(1, True, 1))
+    made.look(3)
+    assert made.states["e"] == LEFT and not made.merge_word("e", Word(1, False, 9))
+
+
+# ---- the detector
+
+def detector(now=0):
+    made = Detector(SECOND, Lcg(3), now, lambda: ["b", "c", "d", "e"])
+    made.observe(now, ["b"])
+    return made
+
+
+def steps(made, begin, periods, answer=None, step=SECOND // 10):
+    """Steps on time; `answer(ask)` says whether a ping is answered at once."""
+    found = []
+    for now in range(begin, begin + int(periods * SECOND), step):
+        asks, said = made.step(now)
+        found += said
+        for ask in asks:
+            if ask.how == "ping" and answer is not None and answer(ask):
+                made.answered_by(now, ask.nonce)
+    return found
+
+
+def test_three_probes_in_a_row_without_an_answer_are_a_silence_and_an_answer_ends_it():
+    made = detector()
+    steps(made, 0, 5, lambda ask: True)
+    found = steps(made, 5 * SECOND, MISSES + 2, lambda ask: ask.to != "b")
+    assert [(one.subject, one.hears) for one in found] == [("b", False)]
+    made.step(11 * SECOND)
+    nonce = max(made.probes, key=lambda n: (made.probes[n].subject == "b", made.probes[n].sent))
+    assert made.answered_by(11 * SECOND, nonce).hears
+
+
+def test_an_answer_that_comes_periods_late_still_counts():
+    made, waiting = detector(), []
+    for now in range(0, 12 * SECOND, SECOND // 10):
+        asks, found = made.step(now)
+        assert not found
+        waiting += [(now + 17 * SECOND // 10, ask.nonce) for ask in asks if ask.how == "ping"]
+        for at, nonce in waiting:
+            if at <= now:
+                made.answered_by(now, nonce)
+
+
+def test_one_that_was_stopped_blames_nobody_and_is_slower_to_judge():
+    made = detector()
+    steps(made, 0, 2.5, lambda ask: True)
+    steps(made, 3 * SECOND, 2, None)
+    found = steps(made, 25 * SECOND, MISSES, None)
+    assert not found and made.counts["stops"] == 1 and made.health >= HEALTH_MOST - 2
+
+
+# ---- what is sent
+
+def body(**fields):
+    return Body(**{**dict(kind=g.PING, sender="b", start=1, incarnation=0, seq=1, nonce=7), **fields})
+
+
+@pytest.mark.parametrize("data, why", [
+    (b"", "short"), (b"cG\x01", "short"), (b"x" * 2_000, "long"), (b"x" * 100, "foreign"),
+    (Seal("other", b"a secret of sixteen").close(body()), "foreign"), (Seal("trial", b"another secret, as long").close(body()), "proof"),
+    (SEAL.close(body())[:-1] + b"\x00", "proof"), (SEAL.close(body(kind=99)), "body"), (SEAL.close(body(sender="")), "body"),
+    (SEAL.close(body(words=[WordOf("a", -1, False, 0)])), "body")])
+def test_what_is_not_the_deployments_is_told_apart(data, why):
+    with pytest.raises(NotOurs) as found:
+        SEAL.open(data)
+    assert found.value.why == why
+
+
+@settings(max_examples=400, deadline=None)
+@given(st.binary(max_size=300), st.integers(0, 400), st.integers(0, 255))
+def test_no_bytes_bring_a_member_down_or_change_it(junk, at, value):
+    member = Member("a", {one: (one, 1) for one in NAMES}, SEAL, SECOND, 5, 1, 0)
+    before = merged([]), dict(member.roll.words)
+    sound = bytearray(SEAL.close(body()))
+    sound[at % len(sound)] ^= value or 1
+    for data in (junk, g.MAGIC + junk, bytes(sound)):
+        member.hear(1, data, ("b", 1))
+        member.hear_stream(1, data)
+        frames = g.Frames(1_000)
+        try:
+            list(frames.feed(data))
+        except NotOurs:
+            pass
+    assert dict(member.roll.words) == before[1]
+
+
+def test_the_same_datagram_again_changes_nothing_and_is_not_answered():
+    member = Member("a", {one: (one, 1) for one in NAMES}, SEAL, SECOND, 5, 1, 0)
+    data = SEAL.close(body())
+    member.hear(1, data, ("b", 1))
+    assert len(member.out) == 1
+    member.hear(2, data, ("b", 1))
+    assert len(member.out) == 1 and member.counts["again"] == 1
+
+
+@given(st.lists(st.integers(1, 90), max_size=60))
+def test_a_window_takes_each_number_once(numbers):
+    window, taken = Window(), []
+    for one in numbers:
+        if window.fresh(1, one):
+            taken.append(one)
+    assert len(taken) == len(set(taken))
+
+
+@pytest.mark.parametrize("young, start", [(True, 11), (False, 5)])
+def test_a_new_life_takes_a_later_start_than_one_of_a_clock_that_was_ahead_and_an_old_one_gives_way(young, start):
+    member = Member("a", {one: (one, 1) for one in NAMES}, SEAL, SECOND, 5, 1, 0)
+    member.young = young
+    member.hear(1, SEAL.close(body(words=[WordOf("a", 10, False, 3)])), ("b", 1))
+    assert member.start == start and member.superseded is not young
+
+
+def test_datagrams_stay_under_their_size_however_much_there_is_to_tell():
+    names = {f"a-rather-long-name-{n:03d}": (f"h{n}", 1) for n in range(300)}
+    member = Member(next(iter(names)), names, SEAL, SECOND, 5, 1, 0)
+    for n, one in enumerate(names):
+        member._take_word(1, WordOf(one, 2 ** 60 + n, False, 2 ** 40))
+    member._send(1, ("h1", 1), g.PING, "a-rather-long-name-001", 1)
+    assert len(member.out[0][1]) <= g.DATAGRAM_MOST and len(member.queue) > 0
+
+
+# ---- datagrams and ways in memory
+
+@pytest.mark.parametrize("way, heard", [(None, 200), (Way(cut=True), 0), (Way(loss=0.5), 100), (Way(doubled=1.0), 400)])
+def test_each_way_is_spoilt_by_itself(way, heard):
+    world = World(3)
+    a, b = world.host("a"), world.host("b")
+    ports = {host: datagrams(host.loop, ("127.0.0.1", 1 + at)) for at, host in enumerate((a, b))}
+    world.network.set_way("a", "b", way)
+    got = {a: 0, b: 0}
+
+    def listens(host):
+        while True:
+            yield from ports[host].receive()
+            got[host] += 1
+
+    def sends():
+        for _ in range(200):
+            ports[a].send(b"x", ports[b].address)
+            ports[b].send(b"x", ports[a].address)
+            yield from a.loop.sleep(1_000)
+        yield from a.loop.sleep(SECOND)
+    for host in (a, b):
+        host.loop.spawn(listens(host), "listens")
+    world.run(a.loop.spawn(sends(), "sends"))
+    world.dispose()
+    assert got[a] == 200 and abs(got[b] - heard) <= 30
+
+
+def test_services_on_a_virtual_world_find_a_host_that_was_killed_and_one_that_woke():
+    world = World(5)
+    names = [f"p{n}" for n in range(5)]
+    hosts = {one: world.host(one) for one in names}
+    terms = MembershipTerms(200_000, {one: ("127.0.0.1", 100 + n) for n, one in enumerate(names)})
+    made = {one: Membership(hosts[one].loop, terms, one, "trial", b"", 1, n, lambda event, **fields: None)
+            for n, one in enumerate(names)}
+    runner = world.host("runner")
+
+    def day():
+        yield from runner.loop.sleep(3 * SECOND)
+        assert all(set(made[one].member.roll.states.values()) == {ALIVE} for one in names)
+        hosts["p0"].end()
+        hosts["p1"].pause()
+        yield from runner.loop.sleep(6 * SECOND)
+        assert all(made[one].member.roll.states["p0"] == made[one].member.roll.states["p1"] == DEAD for one in names[2:])
+        hosts["p1"].resume()
+        yield from runner.loop.sleep(6 * SECOND)
+        return [made[one].member.roll.states["p1"] for one in names[1:]]
+    assert world.run(runner.loop.spawn(day(), "day")) == [ALIVE] * 4
+    world.dispose()
+
+
+# ---- crowds by seed
+
+@pytest.mark.parametrize("seed", [1, 5, 15, 20, 57, 74, 153, 156, 225, 248, 265, 339, 462, 534, 658])
+def test_days_by_seed_hold(seed):
+    """Some are kept because they broke once."""
+    assert broken(play_day(seed)) == []
+
+
+def test_the_same_seed_is_the_same_day():
+    assert play_day(7).crowd.changes == play_day(7).crowd.changes
+
+
+def test_a_crowd_finds_a_tenth_of_it_dead_within_eight_periods():
+    crowd = Crowd(64, 9)
+    crowd.run_for(12)
+    assert crowd.true() == [] and crowd.alike()
+    for one in list(crowd.places)[:6]:
+        crowd.kill(one)
+    crowd.run_for(8)
+    assert crowd.true() == []
+
+
+# ---- deployment files
+
+LONE = open("examples/lone.hcl").read()
+
+
+@pytest.mark.parametrize("old, new, said", [
+    ('pilot "p0" {', 'membership {}\n  pilot "p0" {', "has no gossip address"),
+    ('pilot "p0" {', 'pilot "p0" {\n    gossip = "127.0.0.1:7190"', "gossip has no meaning"),
+    ('pilot "p0" {', 'membership {}\n  pilot "p0" {\n    gossip = "127.0.0.1:7100"', "is its listen or admin address"),
+    ('pilot "p0" {', 'membership { period = "1ms" }\n  pilot "p0" {\n    gossip = "127.0.0.1:7190"', 'period = "1ms"')])
+def test_a_block_membership_is_checked(tmp_path, old, new, said):
+    path = tmp_path / "f.hcl"
+    path.write_text(LONE.replace(old, new, 1))
+    with pytest.raises(FileRefused, match="f.hcl:[0-9]+: ") as found:
+        load(str(path))
+    assert said in str(found.value)
