--- a/tests/test_pilots.py
+++ b/tests/test_pilots.py
@@ -88,8 +88,10 @@
 def test_with_a_third_of_all_datagrams_lost_the_dead_are_found_and_nobody_else(make):
     p = make(8)
     p.order([f"{a}>{b}" for a, b in p.doors], loss=0.3)
+    before = len(p.changes())
     p.wait(40)
-    assert not p.removed(*p.names)
+    # Second tries, helpers and streams make up for the loss: of 2,200 probes some hundred would run out three times in a row.
+    assert not p.removed(*p.names) and len(p.changes()) - before < 40
     p.kill("p7")
     p.until(lambda: p.hold(p.names[:7], p7="dead"), FOUND, "not found dead")
     assert not p.removed(*p.names[:7])
