--- a/tests/pilots.py
+++ b/tests/pilots.py
@@ -166,3 +166,35 @@
         """Verdicts agreed on by most against any of these, by others than themselves."""
         return [change for change in self.changes() if change[1] in names and change[0] != change[1] and change[2] == "dead"
                 and change[3]]
+
+
+def measure(folder, count, rounds):
+    """How soon a killed one is held for dead by each of the others, in periods."""
+    p, found = Pilots(folder, count), []
+    try:
+        for turn in range(rounds):
+            name = p.names[turn % count]
+            at = time.monotonic()
+            p.kill(name)
+            others = [one for one in p.names if one != name]
+            p.until(lambda: p.hold(others, **{name: "dead"}), 60, "not found")
+            for one in others:
+                rows = [json.loads(line) for line in (p.folder / f"log-{one}.txt").read_text().splitlines() if '"member_changed"' in line]
+                found.append(next(row["at_us"] / 1e6 - at for row in reversed(rows) if row["member"] == name and row["after"] == "dead")
+                             / PERIOD)
+            p.start(name)
+            p.until(p.all_alive, 120, "not back")
+        sent = [p.ask(name)["counts"] for name in p.names]
+    finally:
+        p.end()
+    return sorted(found), sent
+
+
+if __name__ == "__main__":
+    import pathlib
+    import tempfile
+    for size in sys.argv[1:]:
+        with tempfile.TemporaryDirectory() as made_folder:
+            times, _ = measure(pathlib.Path(made_folder), int(size), 5)
+        print(f"{size} processes, period {PERIOD} s, {len(times)} findings: p50 {times[len(times) // 2]:.1f} periods, "
+              f"p99 {times[int(len(times) * 0.99)]:.1f}, max {times[-1]:.1f}")
