--- a/cedarshift/rehearsal/crowd.py
+++ b/cedarshift/rehearsal/crowd.py
@@ -90,6 +90,7 @@
         self.places = {f"p{n:0{width}d}": Place(f"p{n:0{width}d}", (f"h{n}", 7)) for n in range(count)}
         self.by_address = {place.address: place for place in self.places.values()}
         self.changes: list[tuple[int, str, Change]] = []   # when, who changed its view, what
+        self.answered: set[int] = set()      # which of them are of a life or incarnation that the member had left behind by then
         self.killed: dict[str, int] = {}
         self.fault_until = 0                 # when the last fault ended
         self.starts = 0
@@ -130,6 +131,9 @@
         self._pump(place)
 
     def _note(self, who: str, now: int, change: Change) -> None:
+        member = self.places[change.name].member
+        if member is not None and (change.start, change.incarnation) < (getattr(member, "start", 0), getattr(member, "incarnation", 0)):
+            self.answered.add(len(self.changes))
         self.changes.append((now, who, change))
 
     def kill(self, name: str) -> None:
@@ -271,11 +275,10 @@
     """Verdicts agreed on by most against a member that was alive and sound all the while it took to find them. Old ones that it
     has answered, and that reach somebody late, are none."""
     found = []
-    for at, who, change in crowd.changes:
+    for number, (at, who, change) in enumerate(crowd.changes):
         if change.after == DEAD and change.agreed and who != change.name:
             place = crowd.places[change.name]
-            old = (change.start, change.incarnation) < (place.member.start, place.member.incarnation)   # it has answered that long ago
-            if change.name not in crowd.killed and place.alive and not old and at > place.unsound_until + 12 * crowd.period:
+            if change.name not in crowd.killed and place.alive and number not in crowd.answered and at > place.unsound_until + 12 * crowd.period:
                 found.append((at, who, change))
     return found
 
