--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from bisect import bisect_left, insort
 from collections import deque
 from hashlib import blake2b
 from itertools import takewhile
@@ -72,17 +73,67 @@
         return (self.state >> 33) % below
 
 
-class Endpoint:
-    """What is known of one endpoint. Nothing is forgotten when it leaves the list: it may come back."""
+class Heard:
+    """The newest samples of one thing, and totals of those that the window holds, which follow as samples come
+    and leave: with ten thousand slices few change between two looks. Whole numbers: no order matters."""
+
+    def __init__(self) -> None:
+        self.samples: deque = deque(maxlen=SAMPLES)
+        self.inside = 0                      # how many of them, the newest, the window holds
+        self.holds = -math.inf               # until when the totals hold, if no more samples come
+
+    def hear(self, sample: tuple) -> None:
+        if self.inside == SAMPLES:           # the oldest makes room, though the window still holds it
+            self.inside -= 1
+            self.count(self.samples[0], -1)
+        self.samples.append(sample)
+        self.inside, self.holds = self.inside + 1, -math.inf
+        self.count(sample, 1)
+
+    def look(self, now: int, recent: int) -> None:
+        while self.inside and (oldest := self.samples[-self.inside])[0] < now - recent:
+            self.count(oldest, -1)
+            self.inside -= 1
+        self.holds = self.samples[-self.inside][0] + recent if self.inside else math.inf
+
+
+class Endpoint(Heard):
+    """What is known of one endpoint. Nothing is forgotten when it leaves the list: it may come back.
+    Its samples: (heard at, tries, aborted, took, span, from)."""
 
     def __init__(self, name: str) -> None:
+        self.forget()
         self.name, self.phase, self.size, self.zone = name, "on", 1.0, ""
         self.part = 1.0                      # what it can do against the others, by its size and speed
         self.started: Optional[int] = None   # None: long ago
         self.told_at = 0                     # when it was heard that it drains or is gone
-        self.samples: deque = deque(maxlen=SAMPLES)  # (heard at, tries, aborted, took, span, from)
         self.sick_until, self.strikes, self.hot_checks = 0, 0, 0
         self.changed_at, self.gained_at = 0, 0  # when it last gained or lost a slice, and when it gained one
+        self.ours: Optional[bool] = None     # whether the lot gives this pilot its cold budget
+
+    def forget(self) -> None:
+        Heard.__init__(self)
+        self.fares: dict[str, list[int]] = {}   # by origin: tries, aborted, acked, their time; in the window
+        self.total, self.longest = [0, 0, 0, 0], 0   # of all; the longest span that a sum has covered
+        self.times: list[int] = []           # what acks took, sorted, of all samples
+        self.newest: Optional[tuple] = None  # (holds until, ways to its zone, figures of the newest sums)
+
+    def count(self, sample: tuple, sign: int) -> None:
+        _, tries, aborted, took, _, origin = sample
+        for part in (self.total, self.fares.setdefault(origin, [0, 0, 0, 0])):
+            part[0] += sign * tries
+            part[1] += sign * max(0, aborted)
+            if took > 0:
+                part[2] += sign * (tries - aborted)
+                part[3] += sign * (tries - aborted) * max(1, took)
+
+    def hear(self, sample: tuple) -> None:
+        if len(self.samples) == SAMPLES and (took := self.samples[0][3]):
+            del self.times[bisect_left(self.times, took)]
+        if sample[3]:
+            insort(self.times, sample[3])
+        self.newest, self.longest = None, max(self.longest, sample[4])
+        super().hear(sample)
 
 
 class Proxy:
@@ -98,15 +149,23 @@
         self.table: Optional[int] = None     # the table that it was put on, at sites without slices
 
 
-class Slice:
+class Slice(Heard):
+    """Its samples: (heard at, ops, span, unanswered, op type)."""
+
     def __init__(self, number: int, now: int) -> None:
+        super().__init__()
+        self.ops, self.span = 0, 0           # in the window
+        self.rate: Optional[float] = None    # ops in a tenth of a millisecond; None where nothing was heard
         self.number, self.given_at, self.since = number, now, now
         self.state, self.owner, self.target = EMPTY, None, None
         self.line = False                    # the store's table names the owner
         self.closed = False                  # its writing op types are at level 0
         self.mark: Optional[int] = None      # the mark of the revoke; None: only the lease is waited for
         self.moved_at = -HOLD
-        self.samples: deque = deque(maxlen=SAMPLES)  # (heard at, ops, span, unanswered, op type)
+
+    def count(self, sample: tuple, sign: int) -> None:
+        self.ops += sign * sample[1]
+        self.span += sign * sample[2]
 
 
 def rendezvous(endpoint: str, number: int, weight: float) -> float:
@@ -157,6 +216,9 @@
         self.check_at = 0                    # when the mover and the level look next
         self.level, self.level_sent = 1.0, 1.0
         self.laid: dict[tuple[int, str], bool] = {}
+        self.ways, self.ways_to = {}, {}     # what ways lose and delay; the same by the endpoints' zone
+        self.ordered: Optional[list[Slice]] = None   # all slices by number; None: one came or went
+        self.roomy: Optional[list[tuple]] = None   # who may take slices, worked out once a turn
         self.news, self.weighed_at = True, 0  # the list, the charge or the orders changed since the weigh-up
         self.held: dict[str, list[Slice]] = {}   # the slices that each endpoint owns
         self.mean_rate = 1e-3                # ops of a slice in 0.1 ms, until sums come
@@ -175,7 +237,7 @@
             known = self.endpoints.setdefault(e.endpoint, Endpoint(e.endpoint))
             self._set_phase(known, e.phase, now - e.late)
             if e.started and e.started != known.started:
-                known.samples.clear()        # a new process: what the old one did tells nothing
+                known.forget()               # a new process: what the old one did tells nothing
                 known.sick_until = 0
             known.size, known.zone = e.size, e.zone
             known.started = e.started if e.started is not None else known.started
@@ -199,6 +261,7 @@
     def on_given(self, now: int, slice_id: int, given: bool) -> None:
         self.news = True
         self.slices.pop(slice_id, None)
+        self.ordered = None
         if given:
             s = self.slices[slice_id] = Slice(slice_id, now)
             # No line held: a hand-over was cut off, so the lease and the settle time are waited out.
@@ -231,11 +294,11 @@
     def on_met(self, now: int, endpoint: str, zone: str, tries: int, aborted: int, took: int,
                span: int) -> None:
         if endpoint in self.endpoints and tries > 0:
-            self.endpoints[endpoint].samples.append((now, tries, aborted, took, span, zone))
+            self.endpoints[endpoint].hear((now, tries, aborted, took, span, zone))
 
     def on_heat(self, now: int, slice_id: int, op_type: str, ops: int, unanswered: int, span: int) -> None:
         if slice_id in self.slices:
-            self.slices[slice_id].samples.append((now, ops, span, unanswered, op_type))
+            self.slices[slice_id].hear((now, ops, span, unanswered, op_type))
 
     def on_warned(self, now: int, endpoint: str, until: int) -> None:
         if endpoint in self.endpoints:       # a peer found it sick; what it does here is judged as ever
@@ -279,15 +342,14 @@
         """The samples heard from a time on, newest first."""
         return list(takewhile(lambda s: s[0] >= at, reversed(samples)))
 
-    def _rate(self, s: Slice, now: int) -> Optional[float]:
-        """Ops of a slice in a tenth of a millisecond; None where nothing was heard."""
-        got = self._since(s.samples, now - self.recent)
-        span = sum(g[2] for g in got) / self.kinds
-        return sum(g[1] for g in got) / max(1, span) if got else None
+    def _sorted_slices(self) -> list[Slice]:
+        if self.ordered is None:
+            self.ordered = [s for _, s in sorted(self.slices.items())]
+        return self.ordered
 
     def _weigh_up(self, now: int) -> None:
         """Works out, at a pace of its own, the figures of the whole fleet that the decisions use."""
-        self.news, self.weighed_at = False, now
+        self.news, self.weighed_at, self.roomy = False, now, None
         self.live = [e for _, e in sorted(self.endpoints.items()) if self._stands(e, now)]
         self.standing = {e.name for e in self.live}
         self._weigh_ways(now)
@@ -295,26 +357,36 @@
         shares = sorted(aborted / tries for tries, aborted, _ in self.met.values() if tries) or [0.0]
         self.usual = shares[len(shares) // 2]    # share of ops that abort at the middle endpoint
         self._look_for_sick(now)
-        heard = {n: self._rate(s, now) for n, s in sorted(self.slices.items())}
-        if known := [rate for rate in heard.values() if rate is not None]:
-            self.mean_rate = sum(known) / len(known)
-        self.rate = {n: (self.mean_rate if rate is None else rate) + self.mean_rate * 0.1
-                     for n, rate in heard.items()}
-        self.burden, self.held = {}, {}
-        for n, s in sorted(self.slices.items()):
-            if bearer := s.target or s.owner:
-                self.burden[bearer] = self.burden.get(bearer, 0.0) + self.rate[n]
-            if s.state == OWNED:
-                self.held.setdefault(s.owner, []).append(s)
+        self._weigh_slices(now)
         self._forget(now)
-        self.leaving = sum(s.line and self._must_leave(s.owner) for s in self.slices.values())
+        stay = {name for name in self.endpoints if not self._must_leave(name)}
+        self.leaving = sum([s.owner not in stay for s in self._sorted_slices() if s.line])
         self._weigh_speeds(now)
         self.mean_size = sum(e.part for e in self.live) / max(1, len(self.live))
         self.unit = sum(self.rate.values()) / max(1e-9, self.mean_size * len(self.live))  # fair for size 1
         self.whole = max(1.0, self.slices_in_all / max(1, len(self.slices)))  # all pilots' slices, in its own
-        came = sum(g[1] for s in self.slices.values() for g in self._since(s.samples, now - self.recent))
+        came = sum([s.ops for s in self._sorted_slices()])
         self.served = max(SERVED_LEAST, min(1.0, self.tip * self.acked / came / SERVED_WELL)) if came else 1.0
 
+    def _weigh_slices(self, now: int) -> None:
+        """Ops of each slice in a tenth of a millisecond, the mean where nothing was heard; who bears them."""
+        ordered = self._sorted_slices()
+        for s in ordered:
+            if now > s.holds:
+                s.look(now, self.recent)
+                s.rate = s.ops / max(1, s.span / self.kinds) if s.inside else None
+        if known := [s.rate for s in ordered if s.rate is not None]:
+            self.mean_rate = sum(known) / len(known)
+        mean, more = self.mean_rate, self.mean_rate * 0.1
+        rates = [(mean if s.rate is None else s.rate) + more for s in ordered]
+        self.rate = {s.number: rate for s, rate in zip(ordered, rates)}
+        burden, held = self.burden, self.held = {}, {}
+        for s, rate in zip(ordered, rates):
+            if bearer := s.target or s.owner:
+                burden[bearer] = burden.get(bearer, 0.0) + rate
+            if s.state == OWNED:
+                held.setdefault(s.owner, []).append(s)
+
     def _forget(self, now: int) -> None:
         """An endpoint gone for long, that no slice names, is forgotten: where each start has a new id they
         pile up."""
@@ -327,8 +399,7 @@
 
     def _weigh_speeds(self, now: int) -> None:
         """An endpoint's fair part is its listed size by its speed: its quicker acks against the fleet's."""
-        times = {e.name: sorted(s[3] for s in e.samples if s[3]) for e in self.live}
-        quick = {name: took[len(took) // 4] for name, took in times.items() if len(took) >= QUICK_LEAST}
+        quick = {e.name: e.times[len(e.times) // 4] for e in self.live if len(e.times) >= QUICK_LEAST}
         usual = sorted(quick.values())[len(quick) // 2] if quick else 1
         for e in self.live:
             speed = usual / quick.get(e.name, usual) if self._warmth(e, now) >= 1.0 else 1.0
@@ -338,12 +409,16 @@
         """How much worse a zone's proxies fare at a zone's endpoints than those that fare best there: a slow
         or lossy link, or proxies that stand still. No move or level cures that, so no endpoint is blamed.
         Harm: endpoints that fail for the zone with nearly all the traffic are left late."""
-        self.ways: dict[tuple[str, str], tuple[float, float]] = {}
-        got: dict[tuple[str, str], list] = {}
+        self.ways, self.ways_to = {}, {}
+        got: dict[tuple[str, str], list[list[int]]] = {}
         for e in self.live:
-            for s in self._since(e.samples, now - self.recent):
-                got.setdefault((s[5], e.zone), []).append(s)
-        fare = {way: self._sum(samples, way[1]) for way, samples in got.items()}
+            if now > e.holds:
+                e.look(now, self.recent)
+            for origin, part in e.fares.items():
+                got.setdefault((origin, e.zone), []).append(part)
+        summed = {way: [sum(column) for column in zip(*parts)] for way, parts in got.items()}
+        fare = {way: (tries, aborted, time / acked if acked else 0.0)
+                for way, (tries, aborted, acked, time) in summed.items() if tries}
         self.acked = sum(tries - aborted for tries, aborted, _ in fare.values())
         for zone in {z for _, z in fare}:
             share = {o: (m[1] / m[0], m[2]) for (o, z), m in fare.items() if z == zone and m[0] >= WAY_LEAST}
@@ -352,20 +427,30 @@
                 lost, late = lost - min(b for b, _ in share.values()), took - best
                 if lost > WAY_LOST or late > WAY_LATE * self.tight:
                     self.ways[origin, zone] = (lost, max(0.0, late))
+                    self.ways_to.setdefault(zone, []).append((origin, self.ways[origin, zone]))
 
     def _met(self, e: Endpoint, now: int, after: int = 0) -> tuple[int, float, float]:
         """Tries, aborted ops and mean time of the acked ones over the last periods."""
+        if now > e.holds:
+            e.look(now, self.recent)
+        if e.zone not in self.ways_to and e.holds - self.recent - e.longest >= after:   # all are begun by then
+            tries, aborted, acked, time = e.total
+            return tries, aborted, time / acked if acked else 0.0
         got = self._since(e.samples, now - self.recent)
         return self._sum([s for s in got if s[0] - s[4] >= after], e.zone)
 
     def _last_met(self, e: Endpoint, now: int) -> tuple[int, float, float]:
         """The same over the newest sums alone, as many as hold enough ops: a change shows there first."""
+        ways = self.ways_to.get(e.zone)
+        if e.newest is not None and now <= e.newest[0] and ways == e.newest[1]:
+            return e.newest[2]
         got: list[tuple] = []
         for s in reversed(e.samples):
             if now - s[0] > self.recent or (sum(g[1] for g in got) >= SICK_LEAST and s[0] != got[-1][0]):
                 break
             got.append(s)
-        return self._sum(got, e.zone)
+        e.newest = (got[-1][0] + self.recent if got else math.inf, ways, self._sum(got, e.zone))
+        return e.newest[2]
 
     def _sum(self, got: list[tuple], zone: str) -> tuple[int, float, float]:
         tries, aborted, acked, time = 0, 0.0, 0, 0.0
@@ -388,7 +473,7 @@
             for e in bad:
                 e.sick_until = now + (SICK_HOLD << min(e.strikes, 3))
                 e.strikes += 1
-                e.samples.clear()
+                e.forget()
 
     def _serves_a_type(self, e: Endpoint, now: int) -> bool:
         """Whether one op type at least is answered: such an endpoint is strained, not sick, and gives slices
@@ -420,7 +505,10 @@
         warmth = self._warmth(e, now)
         if warmth >= 1.0:
             return self.unit * e.part
-        if max(range(self.pilots), key=lambda place: rendezvous(e.name, place, 1.0)) != self.place:
+        if e.ours is None:
+            lot = max(range(self.pilots), key=lambda place: rendezvous(e.name, place, 1.0))
+            e.ours = lot == self.place
+        if not e.ours:
             return 0.0
         fair = self.whole * self.unit * min(e.part, self.mean_size)
         first = 1.0 if e.gained_at > e.started else COLD_FIRST
@@ -430,10 +518,17 @@
 
     def _with_room(self, s: Slice, now: int) -> Optional[str]:
         """The rendezvous choice among live endpoints with room."""
-        fit = [e for e in self.live if now >= e.sick_until and not self._strained(self.met[e.name])
-               and self.burden.get(e.name, 0.0) + self.rate[s.number] <= self._room_at(e, now)]
-        best = max(fit, key=lambda e: (rendezvous(e.name, s.number, e.part), e.name), default=None)
-        return best.name if best else None
+        rate, burden = self.rate[s.number], self.burden
+        if self.roomy is None:
+            self.roomy = self._roomy(now)
+        fit = [(rendezvous(e.name, s.number, e.part), e.name) for e, room in self.roomy
+               if burden.get(e.name, 0.0) + rate <= (self._room_at(e, now) if room is None else room)]
+        return max(fit)[1] if fit else None
+
+    def _roomy(self, now: int) -> list[tuple[Endpoint, Optional[float]]]:
+        """Who may take slices, and up to what burden; None for a cold one, whose room changes as it gains."""
+        return [(e, self._room_at(e, now) if self._warmth(e, now) >= 1.0 else None) for e in self.live
+                if now >= e.sick_until and not self._strained(self.met[e.name])]
 
     def _choose(self, s: Slice, now: int) -> Optional[str]:
         """With no room anywhere the least burdened warm endpoint takes an orphan, then a cold or sick one."""
@@ -498,17 +593,27 @@
     def _due(self, now: int) -> list[tuple[int, int, str, Optional[str]]]:
         """(urgency, slice, step, endpoint): what a rule asks for, then grants, then revokes, then moves."""
         due: list[tuple[int, int, str, Optional[str]]] = []
-        for n, s in sorted(self.slices.items()):
-            if s.state == REVOKING and (at := self._stopped(s, now)) is not None:
-                s.state, s.since = SETTLING, at
+        stopped: dict[tuple, Optional[int]] = {}   # slices revoked by one turn have stopped together
+        fit = {e.name for e in self.live if now >= e.sick_until}
+        told: dict[int, float] = {}
+        for s in [s for s in self._sorted_slices() if s.state != OWNED or s.owner not in fit]:
+            n = s.number
+            told[n] = self._told(s)
+            overdue = now >= told[n] + self.grace - self.queue
+            if s.state == REVOKING:
+                turn = (s.mark, s.since, s.given_at)
+                if turn not in stopped:
+                    stopped[turn] = self._stopped(s, now)
+                if (at := stopped[turn]) is not None:
+                    s.state, s.since = SETTLING, at
             if s.state == SETTLING and now >= s.since + self.settle:
                 s.state = EMPTY
             sound = not self._unfit(s.owner, now)
             if s.state == OWNED and not sound:
-                urgency = 0 if self._overdue(s, now) else 1 if self._must_leave(s.owner) else 2
+                urgency = 0 if overdue else 1 if self._must_leave(s.owner) else 2
                 due.append((urgency, n, "revoke", None))
             elif s.state in (REVOKING, SETTLING):
-                if s.line and self._overdue(s, now):
+                if s.line and overdue:
                     due.append((0, n, "clear", None))
                 elif s.owner and sound and (s.line or s.state == SETTLING) and (
                         s.target is None or self._unfit(s.target, now)) and self._warmth(
@@ -516,7 +621,7 @@
                     due.append((1, n, "grant", s.owner))   # the abort
             elif s.state == EMPTY:
                 due.append((1, n, "grant", None))
-        return sorted(due + self._cold_excess(now), key=lambda d: (d[0], self._told(self.slices[d[1]]), d[1]))
+        return sorted(due + self._cold_excess(now), key=lambda d: (d[0], told.get(d[1], math.inf), d[1]))
 
     def _cold_excess(self, now: int) -> list[tuple[int, int, str, Optional[str]]]:
         """A restarted owner is cold with all its slices: those past its budget leave, the last one too."""
@@ -548,6 +653,7 @@
         idle = [e for e in self.live if e.name not in moving and now - e.changed_at >= LATE + self.recent
                 and not self._unfit(e.name, now) and self._warmth(e, now) >= 1.0
                 and not self._strained(self.met[e.name])]
+        coolest: Optional[Endpoint] = None   # of the idle ones, until a slice is given to it
         for e in sorted(self.live, key=lambda e: (-load.get(e.name, mean), e.name)):
             full = self.burden.get(e.name, 0.0) > self.unit * e.part * (1 + MARGIN)
             hot = self._strained(self.met[e.name]) and (full or load.get(e.name, mean) > mean * (1 + MARGIN))
@@ -563,13 +669,15 @@
                 part = mean * self.rate[s.number] / even
                 if len(due) >= most or moved >= MOVES_A_SOURCE:
                     break
-                cool = min(idle, key=lambda t: (load.get(t.name, mean), t.name), default=e).name
+                coolest = coolest or min(idle, key=lambda t: (load.get(t.name, mean), t.name), default=None)
+                cool = (coolest or e).name
                 if cool == e.name or load.get(cool, mean) + part >= load.get(e.name, mean) - part:
                     # Where most are jammed none is far above the mean: who is past the fair share gives.
                     cool = self._with_room(s, now) if full else None
                 if cool:
                     due.append((3, s.number, "move", cool))
                     load[cool] = load.get(cool, mean) + part   # so that not all go to one
+                    coolest = None
                     self.burden[cool] = self.burden.get(cool, 0.0) + self.rate[s.number]
                     moved, e.hot_checks = moved + 1, 0
         return due
@@ -602,14 +710,15 @@
         gap = max(self.even, TURN_HEADS * heads)
         if now < max(self.sent_at + gap, self.channel_free):
             return                           # what is due waits here and goes together, the urgent first
-        waiting = sum(t[2] for t in self.turns)
+        self.roomy, waiting = None, sum(t[2] for t in self.turns)
         self.queue = max(0, self.channel_free - now) + heads + joined * self.leaving * self.per_line + gap
         due = self._due(now)
         if self._crowded(due, waiting, joined, now):
             return
         if now - self.sent_at >= 2 * self.even:   # so that a drain seldom meets a turn just gone
             due += self._check(now)
-        revoked = [s for s in self.slices.values() if s.state == REVOKING and s.mark is not None]
+        revoked = {(s.mark, s.since, s.given_at): s for s in self._sorted_slices()
+                   if s.state == REVOKING and s.mark is not None}.values()
         unmarked = waiting + joined * self.head <= ROOM[1] * self.room and any(
             self._stop(self.proxies[n], s) is None for n in self.newcomers for s in revoked)
         if self.can_level and self.slices and abs(self.level - self.level_sent) >= LEVEL_STEP / 2:
