--- a/cedarshift/gossip/member.py
+++ b/cedarshift/gossip/member.py
@@ -14,7 +14,7 @@
 from cedarshift.codec.gossip import Body, EdgeOf, NotOurs, Seal, VerdictOf, WordOf
 from cedarshift.judge.chance import Lcg
 from cedarshift.judge.detector import NACK_PART, Ask, Detector, Found
-from cedarshift.judge.roll import ALIVE, CUT, DEAD, LEFT, SUSPECT, UNHEARD, VOUCHER_FOR, Change, Edge, Roll, Verdict, Word
+from cedarshift.judge.roll import DEAD, UNHEARD, VOUCHER_FOR, Change, Edge, Roll, Verdict, Word
 
 Address = tuple[str, int]
 
@@ -534,5 +534,3 @@
                 "configured": len(self.roll.names), "superseded": self.superseded, "members": rows, "counts": dict(self.counts),
                 "detector": dict(self.detector.counts)}
 
-
-__all__ = ["ALIVE", "CUT", "DEAD", "LEFT", "SUSPECT", "UNHEARD", "Member", "Routes", "Wish"]
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -8,6 +8,7 @@
 from cedarshift.codec import gossip as g
 from cedarshift.codec.gossip import Body, NotOurs, Seal, WordOf
 from cedarshift.deployment import FileRefused, load
+from cedarshift.deployment.render import render
 from cedarshift.gossip.member import Member, Window
 from cedarshift.gossip.service import Membership, MembershipTerms
 from cedarshift.judge.chance import Lcg
@@ -16,6 +17,7 @@
 from cedarshift.loop import datagrams
 from cedarshift.loop.memory import Way
 from cedarshift.loop.world import World
+from cedarshift.pilot.learning import Learning
 from cedarshift.rehearsal.crowd import Crowd, broken, play_day
 
 SECOND = 1_000_000
@@ -205,7 +207,7 @@
 @given(st.binary(max_size=300), st.integers(0, 400), st.integers(0, 255))
 def test_no_bytes_bring_a_member_down_or_change_it(junk, at, value):
     member = Member("a", {one: (one, 1) for one in NAMES}, SEAL, SECOND, 5, 1, 0)
-    before = merged([]), dict(member.roll.words)
+    before = dict(member.roll.words)
     sound = bytearray(SEAL.close(body()))
     sound[at % len(sound)] ^= value or 1
     for data in (junk, g.MAGIC + junk, bytes(sound)):
@@ -216,7 +218,7 @@
             list(frames.feed(data))
         except NotOurs:
             pass
-    assert dict(member.roll.words) == before[1]
+    assert dict(member.roll.words) == before
 
 
 def test_the_same_datagram_again_changes_nothing_and_is_not_answered():
@@ -327,7 +329,25 @@
     assert crowd.true() == []
 
 
-# ---- deployment files
+# ---- deployment files, and who uses the roll
+
+def test_a_deployment_with_membership_is_rendered_as_it_was_read(tmp_path):
+    path = tmp_path / "f.hcl"
+    path.write_text(LONE.replace('pilot "p0" {', 'membership { period = "500ms" }\n  pilot "p0" {\n    gossip = "127.0.0.1:7190"', 1))
+    found = load(str(path))
+    path.write_text(render(found))
+    assert found.membership.period == SECOND // 2 and load(str(path)) == found
+
+
+@pytest.mark.parametrize("living, asked", [(["p2"], ["p2", "p2"]), (["p3", "p1"], ["p3", "p1"]), ([], ["p1", "p2"]), (["p9"], ["p1", "p2"])])
+def test_facts_are_asked_of_those_that_live(living, asked):
+    class Service:
+        class membership:
+            living = staticmethod(lambda: living)
+    learning = Learning.__new__(Learning)
+    learning.service = Service
+    assert [learning._lender(["p1", "p2", "p3"], at) for at in (0, 1)] == asked
+
 
 LONE = open("examples/lone.hcl").read()
 
--- a/tests/test_pilots.py
+++ b/tests/test_pilots.py
@@ -3,12 +3,14 @@
 import random
 import signal
 import socket
+import subprocess
+import sys
 import threading
 import time
 
 import pytest
 
-from pilots import PERIOD, Pilots
+from pilots import PERIOD, Pilots, free_ports
 
 FOUND = 40                # periods within which a dead one is held for dead by all
 BACK = 60                 # periods within which all hold each other for alive after the last fault
@@ -43,6 +45,9 @@
     assert {who for who, name, after, agreed in p.changes() if after == "dead" and agreed and name == "p0"} == set(rest)
     assert p.all_alive(rest) and not p.removed(*rest)
     quiet(p, 4)
+    told = subprocess.run([sys.executable, "-m", "cedarshift", "members", str(p.folder / "p7.hcl"), "p7", "--pilots"],
+                          capture_output=True, text=True, check=True).stdout
+    assert f"{8 - killed} of 8 configured pilots on its side" in told and told.count(" dead ") == killed
 
 
 def test_a_minority_that_is_left_says_that_it_is_one(make):
@@ -74,7 +79,7 @@
     p.old.append(older)
     p.until(lambda: p.hold(p.names[1:], p0="dead"), FOUND, "not found dead")
     # The stopped life still has the port: the new one listens elsewhere, as on another machine.
-    p.gossip["p0"], p.admin["p0"], p.listen["p0"] = [one for one in __import__("pilots").free_ports(3)]
+    p.gossip["p0"], p.admin["p0"], p.listen["p0"] = free_ports(3)
     p.write_file("p0")
     p.start("p0")
     p.until(lambda: p.all_alive(p.names), BACK, "the new life does not come up")
@@ -177,7 +182,7 @@
     assert not p.removed(*p.names)
 
 
-def test_a_flood_of_foreign_spoilt_and_repeated_datagrams_changes_nothing(make):
+def test_a_flood_of_foreign_and_spoilt_datagrams_changes_nothing(make):
     p, chance = make(5), random.Random(1)
     flood = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     before = len(p.changes())
