An accept that the kernel aborts hides none behind it; a failing timer ends nothing

SocketDoor.accept took ECONNABORTED for "nobody waits": edges tell of new connections alone, so those behind the aborted one waited for the next newcomer. Loop._run_timers let an exception of a timer's call out of Loop.run, that is, out of the process, while a task's ends its task alone.

Excluded: other errors of accept, which the door's loop tries again after 50 ms. Now the accept goes on to the next, and a timer's failure is reported (timer_failed).

--- a/cedarshift/loop/core.py
+++ b/cedarshift/loop/core.py
@@ -177,7 +177,15 @@
         while self.timers and (self.timers[0][0] <= now or self.timers[0][2].call is None):
             timer = heapq.heappop(self.timers)[2]
             if timer.call is not None:
-                timer.call(*timer.args)
+                self._call(timer)
+
+    def _call(self, timer: Timer) -> None:
+        """Runs a timer's call. A failing one is reported and harms no other, as with tasks."""
+        assert timer.call is not None
+        try:
+            timer.call(*timer.args)
+        except Exception as failure:
+            self.report("timer_failed", error=repr(failure), traceback=traceback.format_exc())
 
     # ---- running
 
--- a/cedarshift/loop/epoll.py
+++ b/cedarshift/loop/epoll.py
@@ -162,10 +162,14 @@
         self.address = sock.getsockname()
 
     def accept(self) -> Optional[tuple[SocketPipe, str]]:
-        try:
-            sock, peer = self.sock.accept()
-        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-            return None
+        while True:
+            try:
+                sock, peer = self.sock.accept()
+                break
+            except ConnectionAbortedError:     # it has gone again; others may wait behind it, and no edge tells of them
+                continue
+            except (BlockingIOError, InterruptedError):
+                return None
         sock.setblocking(False)
         return SocketPipe(self.network, sock), f"{peer[0]}:{peer[1]}"
 
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -205,6 +205,18 @@
     assert loop.run(loop.spawn(main(), "main")) == size
 
 
+def test_a_timer_whose_call_fails_is_reported_and_harms_no_other():
+    loop, ran = virtual_loop(), []
+    loop.at(loop.now(), lambda: 1 // 0)
+    loop.at(loop.now(), ran.append, 1)
+
+    def main():
+        yield from loop.sleep(1_000)
+        return True
+    assert loop.run(loop.spawn(main(), "main")) and ran == [1]
+    assert [event for event, _ in loop.heard] == ["timer_failed"]
+
+
 def test_timers_of_waits_that_ended_are_forgotten():
     loop = virtual_loop()
     kept = loop.at(10**12, lambda: None)
