Bytes behind an answer are never read as the next one; idle connections close in time

Seen by reading web/client.py and forced on real sockets: h11 keeps what came behind an answer in its own buffer, where the look into the kernel's (Pool._ended) does not see it. The next request on that connection read it as its answer: a relay's answer that came twice would have told that the next call's orders were taken. To blame: Pool.ask kept a connection by its states alone. Also: nothing closed an idle connection but the next request to the same address. After a move of the relay's address the call under way put its connection back under the old one, for good: a descriptor for each reload that met a call. And a write that the kernel refuses, as the peer has just reset, counted as maybe carried out, so an ack was waited for, 0.4 to 4 s.

--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,187 @@
+"""Two events that cross at the door to the platform, on real sockets, the order of them made by the test."""
+import pytest
+
+from cedarshift.brain import REVOKING
+from cedarshift.loop import StreamBroken
+from cedarshift.loop.epoll import SocketAttempt, SocketPipe
+from cedarshift.platform import collectors, redial, relay
+from cedarshift.platform.collectors import Limits
+from cedarshift.web import NotSent, Pool
+from scripted_peers import (CHUNKED, SECOND, Server, Stage, SteppedLoop, answer, call_to, chunk, frame, news, open_descriptors,
+                            standing, taken)
+
+LINE, OTHER = ("line", 0, "a", 1), ("line", 1, "b", 1)
+MARK = ("mark", 9, True)
+MET = dict(t="outcomes", locality="za", endpoint="a", total=12, errors=3, rtt=41.7, interval=2000.0)
+
+
+@pytest.fixture
+def stage():
+    stage = Stage()
+    yield stage
+    assert not stage.loop.reported("task_failed") and not stage.loop.reported("timer_failed")
+    assert not stage.loop.reported("module_failed")
+
+
+# ---- a pool's connections
+
+class Asking:
+    """A pool on a stepped loop with a server of the test's."""
+
+    def __init__(self, idle=2 * SECOND):
+        self.loop = SteppedLoop()
+        self.server = Server(self.loop)
+        self.pool = Pool(self.loop, SECOND, idle, keep=1)
+
+    def ask(self, body=b"x"):
+        asked = self.pool.ask(self.server.address, "POST", "/", [], body, self.loop.now() + SECOND)
+        return self.loop.spawn(asked, "ask")
+
+    def exchange(self, extra=b""):
+        """One whole exchange; the server's end of its connection."""
+        task = self.ask()
+        peer = self.server.accept()
+        peer.request()
+        peer.say(answer(b"one", extra))
+        self.loop.until(lambda: task.done)
+        assert task.result.body == b"one"
+        return peer
+
+
+@pytest.fixture
+def asking():
+    return Asking()
+
+
+@pytest.mark.parametrize("extra", [answer(b"stale"), b"\r\n", b"x", b"HTTP/1.1 200 OK\r\n"])
+def test_what_comes_behind_an_answer_is_never_read_as_the_next_one(asking, extra):
+    peer = asking.exchange(extra)
+    assert peer.until_ended()
+    task = asking.ask(b"two")
+    other = asking.server.accept()
+    assert other.request()[1] == b"two"
+    other.say(answer(b"fresh"))
+    asking.loop.until(lambda: task.done)
+    assert task.result.body == b"fresh"
+
+
+def test_an_answer_that_comes_before_its_request_is_written_whole_keeps_no_connection(asking, monkeypatch):
+    send = SocketPipe.send
+    monkeypatch.setattr(SocketPipe, "send", lambda pipe, view: send(pipe, view[:10]))   # the kernel has room for no more
+    task = asking.ask()
+    peer = asking.server.accept()
+    peer.until(b"POST / HTT")
+    peer.say(answer(b"too early"))
+    asking.loop.until(lambda: task.done)
+    assert task.result.body == b"too early" and peer.until_ended() and not asking.pool.free
+
+
+@pytest.mark.parametrize("how", ["finish", "reset", "say"])
+def test_an_idle_connection_that_its_peer_ends_in_the_step_that_takes_it_is_not_used(asking, how):
+    peer = asking.exchange()
+    peer.sock.sendall(b"HTTP/1.1 408 Too slow\r\n\r\n") if how == "say" else getattr(peer, how)()
+    task = asking.ask(b"two")                # the loop has not looked at the network since
+    asking.loop.turn()
+    other = asking.server.accept()
+    assert other.request()[1] == b"two" and (how == "reset" or not peer.look().got)
+    other.say(answer(b"fresh"))
+    asking.loop.until(lambda: task.done)
+    assert task.result.body == b"fresh" and asking.pool.dialled == 2
+
+
+@pytest.mark.parametrize("taken_first", [True, False])
+def test_idle_closing_and_a_new_request_in_one_step_leave_one_connection_and_no_timer(asking, taken_first):
+    peer = asking.exchange()
+    if taken_first:
+        task = asking.ask(b"two")
+        asking.loop.turn()
+        asking.loop.clock.time += 2 * SECOND - 1
+    else:
+        asking.loop.clock.time += 2 * SECOND
+        task = asking.ask(b"two")
+        asking.loop.turn()                   # timers run before tasks
+    other = peer if taken_first else asking.server.accept()
+    assert other.request()[1] == b"two"
+    other.say(answer(b"fresh"))
+    if not taken_first:
+        asking.loop.until(lambda: task.done)
+        assert task.result.body == b"fresh" and peer.until_ended()
+    asking.pool.close_idle()
+    asking.loop.settle()
+    assert asking.loop.held() == {"tasks": [], "timers": 0, "sockets": 0} and not asking.pool.free
+
+
+def test_an_idle_connection_is_closed_in_time_though_nobody_asks_again(asking):
+    peer = asking.exchange()
+    before = open_descriptors()
+    asking.loop.advance(1.9)
+    assert peer.look().ended is None
+    asking.loop.advance(0.2)
+    assert peer.until_ended() and not asking.pool.free and open_descriptors() == before - 1
+    assert asking.loop.held() == {"tasks": [], "timers": 0, "sockets": 0}
+
+
+def test_a_request_that_the_kernel_refuses_has_surely_not_left(asking, monkeypatch):
+    peer = asking.exchange()
+    monkeypatch.setattr(Pool, "_ended", staticmethod(lambda stream: False))   # it ends after the look, before the write
+    peer.reset()
+    with pytest.raises(NotSent):
+        asking.loop.until(lambda: not asking.loop.ready)
+        task = asking.ask(b"two")
+        asking.loop.until(lambda: task.done)
+        raise task.error
+
+
+@pytest.mark.parametrize("part, how", [
+    (b"", "finish"), (b"HTTP/1.1 2", "finish"), (b"HTTP/1.1 200 OK\r\nContent-Le", "reset"),
+    (answer(b"one")[:-1], "finish"), (answer(b"one", length=9), "reset"), (b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", None),
+    (b"\0\1\2\r\n\r\n", None)])
+def test_an_answer_that_breaks_off_anywhere_is_told_and_its_connection_not_kept(asking, part, how):
+    task = asking.ask()
+    peer = asking.server.accept()
+    peer.request()
+    peer.say(part)
+    if how:
+        getattr(peer, how)()
+    asking.loop.until(lambda: task.done)
+    assert isinstance(task.error, StreamBroken) and not isinstance(task.error, NotSent)
+    assert not asking.pool.free and asking.loop.held() == {"tasks": [], "timers": 0, "sockets": 0}
+
+
+# ---- relay calls
+
+def test_a_call_whose_connection_is_reset_before_its_answer_is_made_again_only_without_an_ack(stage):
+    stream, _ = stage.begin()
+    for acked in (True, False):
+        stage.order(LINE, MARK)
+        first = stage.relay.accept()
+        assert first.request()[1].endswith(b"mark,9,1")
+        first.reset()
+        stage.loop.settle()
+        if acked:
+            stream.say(chunk(news("ack", "node=0&nonce=9&latency=5.0")))
+        else:
+            stage.loop.advance(relay.PROOF_LEAST / SECOND)
+            again = stage.relay.accept()
+            assert again.request()[1].endswith(b"mark,9,1")
+            again.say(answer(taken(2)))
+        stage.loop.until(lambda: not stage.calls.busy)
+        assert stage.relay.waiting() is None and stage.pilot.slices[0] == "a"
+        stage.calls.pool.close_idle()
+
+
+@pytest.mark.parametrize("pieces", [1, 7])
+def test_an_answer_in_pieces_and_a_slice_that_leaves_between_them(stage, pieces):
+    """The order was sent while the slice was in charge; its answer comes when it is not. Nothing of it is remembered."""
+    stream, _ = stage.begin()
+    stage.order(("line", 0, "b", 1), MARK)
+    peer = stage.relay.accept()
+    peer.request()
+    data = answer(taken(2))
+    peer.say(data[:-pieces])
+    stream.say(chunk(news("lease", "shard=0&set=0")))
+    peer.say(data[-pieces:])
+    stage.loop.until(lambda: not stage.calls.busy)
+    assert 0 not in stage.pilot.slices and 0 not in stage.brain.slices and 0 not in stage.pilot.taken_at
+
+
