A new configuration leaves silent addresses, dials and waits at once; faults end no watch

Seen by reading platform/redial.py: a move closed the answer under way, but that was known only once its head had come. An address that accepts and says nothing was waited for to the end, 2.5 s (stream) or 4.5 s (list); the wait between two tries, up to 0.5 s, went on as well. And an exception of whoever hears a list or an event that was no StreamBroken ended the task: the list was never asked for again.

Now the connection is known from the dial on, the wait is ended by a move, and a fault is reported and the answer asked for anew. A watch from a revision that discovery answers with a 4xx is asked for whole: it was asked for from the same revision for ever. Forced on real sockets: moves while the head is awaited, while dialling and in the wait, a hundred moves with tasks, timers and sockets back at their counts; each fails with its line undone.

--- a/cedarshift/platform/discovery.py
+++ b/cedarshift/platform/discovery.py
@@ -9,6 +9,7 @@
 from cedarshift.platform.redial import Address, Chance, Redialled, Report
 from cedarshift.web import Followed
 
+REVISION_REFUSED = range(400, 500)   # status: the request is at fault, and the revision is all that differs from one to the next
 SILENCE_MOST = 4_500_000  # us; a sign of life comes every 2 s: one may be lost and the next be late
 
 
@@ -19,7 +20,13 @@
         self.revision = None if known is None else known.revision
         self.on_list = on_list
         self.counts = {"watches": 0, "lists": 0}
-        self.watch = Redialled(loop, address, lambda: watch(self.revision), self._hear, SILENCE_MOST, "watch_lost", report, chance)
+        self.watch = Redialled(loop, address, lambda: watch(self.revision), self._hear, SILENCE_MOST, "watch_lost", report, chance,
+                               self._refused)
+
+    def _refused(self, status: int) -> None:
+        """A discovery that can't tell changes since a revision, as it never had it or has it no more, is asked for the whole list."""
+        if status in REVISION_REFUSED:
+            self.revision = None
 
     def _hear(self, followed: Followed) -> Coroutine:
         self.counts["watches"] += 1
--- a/cedarshift/web/follow.py
+++ b/cedarshift/web/follow.py
@@ -48,21 +48,28 @@
             elif not isinstance(event, h11.InformationalResponse):
                 raise StreamBroken(f"{self.stream.peer}: closed before its answer")
 
+    def ask(self, host: str, target: str, until: int) -> Coroutine:
+        """Asks with GET and waits for a head that says 200. Raises NotFollowed, StreamBroken, or TimedOut at `until`."""
+        request = h11.Request(method="GET", target=target, headers=[("host", host)])
+        self.stream.write(self.conn.send(request) + self.conn.send(h11.EndOfMessage()))
+        response = yield from self.head(until)
+        if response.status_code != 200:
+            raise NotFollowed(self.stream.peer, response.status_code)
+
     def close(self) -> None:
+        """Ends a wait for the head or the next piece at once."""
         self.stream.close()
 
 
-def follow(loop: Loop, address: tuple[str, int], target: str, dial_timeout: int, head_within: int) -> Coroutine:
-    """Asks with GET; returns a Followed once the answer's head says 200. Raises StreamBroken or TimedOut."""
+class NotFollowed(StreamBroken):
+    """The peer has answered, but with a status that is no answer to follow."""
+
+    def __init__(self, peer: str, status: int) -> None:
+        super().__init__(f"{peer}: answered {status}")
+        self.status = status
+
+
+def connect(loop: Loop, address: tuple[str, int], dial_timeout: int) -> Coroutine:
+    """Returns a Followed of which nothing has been asked yet. Raises StreamBroken."""
     stream = yield from dial(loop, address, dial_timeout)
-    followed = Followed(stream, h11.Connection(h11.CLIENT))
-    try:
-        asked = h11.Request(method="GET", target=target, headers=[("host", f"{address[0]}:{address[1]}")])
-        stream.write(followed.conn.send(asked) + followed.conn.send(h11.EndOfMessage()))
-        response = yield from followed.head(loop.now() + head_within)
-        if response.status_code != 200:
-            raise StreamBroken(f"{stream.peer}: answered {response.status_code}")
-    except BaseException:
-        stream.close()
-        raise
-    return followed
+    return Followed(stream, h11.Connection(h11.CLIENT))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -185,3 +185,128 @@
     assert 0 not in stage.pilot.slices and 0 not in stage.brain.slices and 0 not in stage.pilot.taken_at
 
 
+# ---- new addresses
+
+def test_an_answer_under_way_at_the_old_address_counts_and_its_connection_goes(stage):
+    stage.begin()
+    stage.order(LINE, MARK)
+    old = stage.relay.accept()
+    old.request()
+    relay_, discovery = Server(stage.loop), Server(stage.loop)
+    stage.pilot.move(stage.moved_to(relay_, discovery))
+    stage.loop.settle()
+    old.say(answer(taken(2)))
+    stage.loop.until(lambda: not stage.calls.busy)
+    assert stage.pilot.slices[0] == "a" and not stage.loop.reported("call_unanswered")
+    stage.loop.advance(relay.IDLE_MOST / SECOND)
+    assert old.until_ended() and not stage.calls.pool.free
+    stage.order(OTHER, MARK)
+    stream = relay_.accept()
+    assert stream.request()[0].startswith("GET /api/stream")
+    assert relay_.accept().request()[1].startswith(b"Action=CommitChanges&orders=share,1,b,1")
+
+
+@pytest.mark.parametrize("which", ["relay", "discovery"])
+def test_an_address_that_accepts_and_says_nothing_is_left_at_once_for_the_next(stage, which):
+    stage.begin()
+    silent, good = (Server(stage.loop), Server(stage.loop)), (Server(stage.loop), Server(stage.loop))
+    at = 0 if which == "relay" else 1
+    stage.pilot.move(stage.moved_to(*silent))
+    held = silent[at].accept()
+    held.request()                           # asked, and never answered
+    stage.pilot.move(stage.moved_to(*good))
+    assert good[at].accept().request()[0].startswith("GET ")   # the clock has not moved
+    assert held.until_ended()
+
+
+@pytest.mark.parametrize("which", ["relay", "discovery"])
+def test_a_wait_before_the_next_try_ends_when_the_address_changes(stage, which):
+    stream, watch = stage.begin()
+    gone, good = (Server(stage.loop), Server(stage.loop)), (Server(stage.loop), Server(stage.loop))
+    for one in gone:
+        one.close()
+    stage.pilot.move(stage.moved_to(*gone))
+    stage.loop.advance(0.5)
+    followed = stage.pilot.news.stream if which == "relay" else stage.pilot.discovery.watch
+    stage.loop.until(lambda: followed.waiting)
+    stage.pilot.move(stage.moved_to(*good))
+    assert good[0 if which == "relay" else 1].accept().request()[0].startswith("GET ")
+
+
+def test_a_move_while_the_address_before_is_dialled_ends_at_the_newest(stage, monkeypatch):
+    stage.begin()
+    poll, first = SocketAttempt.poll, set()
+
+    def not_at_once(attempt):                # as where the peer is further away than loopback
+        if attempt in first:
+            return poll(attempt)
+        first.add(attempt)
+        return None
+    monkeypatch.setattr(SocketAttempt, "poll", not_at_once)
+    before, good = (Server(stage.loop), Server(stage.loop)), (Server(stage.loop), Server(stage.loop))
+    stage.pilot.move(stage.moved_to(*before))
+    stage.loop.turn()
+    stage.loop.turn()                        # the streams have ended, and their tasks dial
+    assert len(first) == 2 and not stage.pilot.news.stream.followed
+    stage.pilot.move(stage.moved_to(*good))
+    for server in good:
+        assert server.accept().request()[0].startswith("GET ")
+    for server in before:
+        old = server.accept()
+        assert old.until_ended() and not old.got
+
+
+def test_nothing_stays_behind_after_a_hundred_moves(stage):
+    stage.begin()
+    servers = [(Server(stage.loop), Server(stage.loop)) for _ in range(2)]
+    counts = []
+    for turn in range(100):
+        relay_, discovery = servers[turn % 2]
+        stage.pilot.move(stage.moved_to(relay_, discovery))
+        stream, watch = relay_.accept(), discovery.accept()
+        stream.request()
+        stream.say(CHUNKED + chunk(standing()))
+        watch.request()
+        watch.say(CHUNKED + chunk("\n"))
+        stage.loop.settle()
+        counts.append(stage.loop.held())
+        for server in servers[1 - turn % 2]:
+            while (old := server.waiting()) is not None:
+                old.close()
+    assert counts[-1] == counts[9] and len(counts[-1]["tasks"]) == 4
+
+
+# ---- the list
+
+def test_a_watch_cut_in_the_middle_of_a_line_goes_on_from_the_list_before(stage):
+    _, watch = stage.begin()
+    line = '{"generation":8,"reset":false,"instances":[]}\n'
+    watch.say(chunk(line) + chunk(line.replace("8", "9")[:20]))
+    watch.finish()
+    stage.loop.settle()
+    stage.loop.advance(0.1)
+    assert "index=8 " in stage.discovery.accept().request()[0]
+
+
+@pytest.mark.parametrize("status, target", [("410 Gone", "index="), ("404 Not Found", "index="), ("503 Later", None)])
+def test_a_discovery_that_no_longer_knows_the_revision_is_asked_for_the_whole_list(stage, status, target):
+    stage.relay.accept()
+    first = stage.discovery.accept()
+    assert "index=7 " in first.request()[0]
+    first.say(f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n".encode())
+    stage.loop.advance(0.1)
+    asked = stage.discovery.accept().request()[0]
+    assert ("index=" in asked) is (target is None)
+
+
+def test_a_fault_while_a_list_is_taken_in_does_not_end_the_watch(monkeypatch):
+    stage = Stage()
+    _, watch = stage.begin()
+    monkeypatch.setattr(stage.brain, "on_list", lambda *_: 1 // 0)
+    watch.say(chunk('{"generation":8,"reset":false,"instances":[]}\n'))
+    monkeypatch.undo()
+    assert "ZeroDivisionError" in stage.loop.reported("task_failed")[0]["error"]
+    stage.loop.advance(0.1)
+    assert stage.discovery.accept().request()[0].startswith("GET ")
+
+
