A quiet collector's report may come in pieces; limits on collectors follow the settings

Seen by reading platform/collectors.py: the five seconds for a message to come whole ran from the last whole message, not from its own first byte. A collector that had been quiet for over 5 s and whose next message came in two pieces was dropped: where reports come every 10 s, each time. Forced: quiet for 1, 30 and 300 s, then a report in two pieces; dropped before, taken now. Fitted to one deployment were: 64 joined connections whatever the zones, 5,000 messages a second whatever the slices and classes, and that there are zones at all (a site without any turned each collector away). All follow from the settings now, with half of the descriptors as a bound. Beyond it the oldest joined connection went, so strangers that join pushed out the collectors; now whoever has been silent longest goes.

--- a/cedarshift/codec/platform/reports.py
+++ b/cedarshift/codec/platform/reports.py
@@ -1,7 +1,7 @@
 """What collectors report, in the module's words and units: the arguments of `on_met` and `on_heat`, checked."""
 from __future__ import annotations
 
-from typing import Any, Container
+from typing import Any, Collection, Container
 
 from cedarshift import units
 from cedarshift.codec.platform import fields
@@ -12,6 +12,7 @@
 COUNT_MOST = 10_000_000   # ops of one report: more is no count
 RTT_MOST = 600_000.0      # ms; no op lasts ten minutes
 SPAN_MOST = 600_000.0     # ms; nor does a report's interval
+ZONE_MOST = 256           # characters of a zone that no settings name
 
 
 def error(reason: str) -> dict[str, Any]:
@@ -26,19 +27,22 @@
     return fields.text(message, "t", 32)
 
 
-def joined_zone(message: dict[str, Any]) -> str:
-    return fields.text(message, "locality")
+def zone(message: dict[str, Any], zones: Collection[str]) -> str:
+    """Where a message comes from; at a site without zones, whatever it names. Raises Spoilt."""
+    if not zones:
+        return str(message.get("locality", ""))[:ZONE_MOST]
+    return _known(message, "locality", zones)
 
 
-def met(message: dict[str, Any], zones: Container[str], endpoints: Container[str]) -> tuple[str, str, int, int, int, int]:
+def met(message: dict[str, Any], zones: Collection[str], endpoints: Container[str]) -> tuple[str, str, int, int, int, int]:
     """(endpoint, zone, tries, aborted, took, span). Raises Spoilt."""
-    zone = _known(message, "locality", zones)
+    origin = zone(message, zones)
     endpoint = _known(message, "endpoint", endpoints)
     tries = fields.whole(message, "total", 0, COUNT_MOST)
     aborted = fields.whole(message, "errors", 0, tries)
     took = fields.number(message, "rtt", 0, RTT_MOST)
     span = fields.number(message, "interval", 1, SPAN_MOST)
-    return endpoint, zone, tries, aborted, tenths_up(took), tenths_up(span)
+    return endpoint, origin, tries, aborted, tenths_up(took), tenths_up(span)
 
 
 def heat(message: dict[str, Any], slices: int, op_types: Container[str]) -> tuple[int, str, int, int, int]:
--- a/cedarshift/platform/collectors.py
+++ b/cedarshift/platform/collectors.py
@@ -5,7 +5,7 @@
 """
 from __future__ import annotations
 
-from typing import Any, Callable, Container
+from typing import Any, Callable, Collection, NamedTuple
 
 from cedarshift.codec.platform import frames, reports
 from cedarshift.codec.platform.errors import Spoilt, Unreadable
@@ -15,48 +15,81 @@
 # Constants: unit, then the reason for the size.
 UNJOINED_FOR = 1_200_000  # us; after 1 s a connection without a joining may be closed, after 3 s it must be
 UNJOINED_PART = 4         # of the descriptors, one in so many is for unjoined connections
-COLLECTORS_MOST = 64      # joined connections; there is a collector a zone, and old ones may linger
+COLLECTORS_LEAST = 64     # joined connections that are kept at least; there is a collector a zone
+COLLECTORS_A_ZONE = 4     # joined connections kept for each zone; old ones may linger
+JOINED_PART = 2           # of the descriptors, one in so many is the most for joined connections, whatever the zones
 FIRST_MOST = 4_096        # bytes of a message before joining; a joining has under a hundred
 ACCEPTS_A_STEP = 16       # accepts before those accepted get to speak
 ACCEPT_AGAIN = 50_000     # us; unjoined connections end all the time
 SECOND = 1_000_000        # us
-MESSAGES_A_SECOND = 5_000 # of one connection; a period's sums of a large deployment come at some hundreds
-HALF_FOR = 5_000_000      # us that a collector's message may take to come whole
+MESSAGES_LEAST = 5_000    # of one connection in a second, at least; a period's reports may come all at once
+REPORTS_IN_A_SECOND = 4   # times the reports of a period that one connection may bring in a second
+HALF_FOR = 5_000_000      # us that a collector's message may take to come whole, from its first byte
 QUIET_FOR = 600_000_000   # us; a collector has something to report far more often
 
 
 class Caller:
-    """One connection."""
+    """One connection. `messages_most` is how many messages it may send in a second."""
 
-    def __init__(self, loop: Loop, stream: Stream) -> None:
+    def __init__(self, stream: Stream, now: int, messages_most: int) -> None:
         self.stream = stream
+        self.messages_most = messages_most
         self.joined = False
         self.messages = frames.Messages(FIRST_MOST)
-        self.opened = loop.now()
-        self.half_since = loop.now()
-        self.span_at = loop.now()            # when the second began over which messages are counted
+        self.opened = now
+        self.heard_at = now                  # when the newest byte came
+        self.half_since = now                # when the first byte came of the message that is not whole yet
+        self.span_at = now                   # when the second began over which messages are counted
         self.came = 0
 
+    def feed(self, data: bytes, now: int) -> None:
+        if not self.messages.buffer:
+            self.half_since = now
+        self.heard_at = now
+        self.messages.feed(data)
+
     def count(self, now: int) -> None:
-        """Raises Unreadable for more messages in a second than anyone has to say."""
+        """For each message that came whole. Raises Unreadable for more of them in a second than anyone has to say."""
+        self.half_since = now                # of what follows it in the buffer
         if now - self.span_at >= SECOND:
             self.span_at, self.came = now, 0
         self.came += 1
-        if self.came > MESSAGES_A_SECOND:
-            raise Unreadable(f"over {MESSAGES_A_SECOND} messages in a second")
+        if self.came > self.messages_most:
+            raise Unreadable(f"over {self.messages_most} messages in a second")
+
+    def until(self) -> int:
+        """When the next byte must have come."""
+        if not self.joined:
+            return self.opened + UNJOINED_FOR
+        if self.messages.buffer:
+            return self.half_since + HALF_FOR
+        return self.heard_at + QUIET_FOR
+
+
+class Limits(NamedTuple):
+    """How many connections are kept, unjoined and joined, and how many messages one may send in a second."""
+    unjoined: int
+    joined: int
+    messages: int
+
+    @classmethod
+    def of(cls, sockets: int, zones: int, reports: int) -> Limits:
+        """For so many descriptors and zones, and so many reports in a period."""
+        joined = min(max(COLLECTORS_LEAST, COLLECTORS_A_ZONE * zones), max(1, sockets // JOINED_PART))
+        return cls(sockets // UNJOINED_PART, joined, max(MESSAGES_LEAST, REPORTS_IN_A_SECOND * reports))
 
 
 class Collectors:
-    """`on_report(message)` raises Spoilt for a report that can't be used."""
+    """`zones` may join; where there are none, anyone may. `on_report(message)` raises Spoilt for a report that can't be used."""
 
-    def __init__(self, loop: Loop, listener: Listener, sockets: int, zones: Container[str],
+    def __init__(self, loop: Loop, listener: Listener, limits: Limits, zones: Collection[str],
                  on_report: Callable[[dict[str, Any]], None], report: Callable[..., None]) -> None:
         self.loop = loop
         self.listener = listener
+        self.limits = limits
         self.zones = zones
         self.on_report = on_report
         self.report = report
-        self.unjoined_most = sockets // UNJOINED_PART
         self.unjoined: dict[Caller, None] = {}   # oldest first
         self.joined: dict[Caller, None] = {}
         self.counts = {"callers": 0, "joined": 0, "evicted": 0, "sent_away": 0, "reports": 0, "spoilt": 0}
@@ -74,29 +107,28 @@
                 yield from self.loop.sleep(ACCEPT_AGAIN)
 
     def _admit(self, stream: Stream) -> None:
-        caller = Caller(self.loop, stream)
+        caller = Caller(stream, self.loop.now(), self.limits.messages)
         self.counts["callers"] += 1
         self.unjoined[caller] = None
-        if len(self.unjoined) > self.unjoined_most:
-            self._evict(self.unjoined)
+        if len(self.unjoined) > self.limits.unjoined:
+            self._evict(self.unjoined, next(iter(self.unjoined)))
         self.loop.spawn(self._talk(caller), "caller")
 
-    def _evict(self, callers: dict[Caller, None]) -> None:
-        oldest = next(iter(callers))
-        del callers[oldest]
+    def _evict(self, callers: dict[Caller, None], caller: Caller) -> None:
+        del callers[caller]
         self.counts["evicted"] += 1
-        oldest.stream.close()
+        caller.stream.close()
 
     def _talk(self, caller: Caller) -> Coroutine:
         try:
             while True:
-                data = yield from caller.stream.read(self._until(caller))
+                data = yield from caller.stream.read(caller.until())
                 if not data:
                     return
-                caller.messages.feed(data)
+                now = self.loop.now()
+                caller.feed(data, now)
                 for message in caller.messages.whole():
-                    caller.half_since = self.loop.now()
-                    caller.count(caller.half_since)
+                    caller.count(now)
                     self._hear(caller, message)
         except (Unreadable, Spoilt) as error:
             self._send_away(caller, str(error))
@@ -107,29 +139,20 @@
             self.joined.pop(caller, None)
             caller.stream.close()
 
-    def _until(self, caller: Caller) -> int:
-        if not caller.joined:
-            return caller.opened + UNJOINED_FOR
-        if caller.messages.buffer:
-            return caller.half_since + HALF_FOR
-        caller.half_since = self.loop.now()
-        return caller.half_since + QUIET_FOR
-
     def _hear(self, caller: Caller, message: dict[str, Any]) -> None:
         """Raises Spoilt where it ends the connection: nobody unjoined has anything else to say."""
         kind = message.get("t")
         if kind == reports.PROBE:
             caller.stream.write(frames.encode(reports.ALIVE))
         elif kind == reports.JOINING:
-            self._join(caller, reports.joined_zone(message))
+            reports.zone(message, self.zones)
+            self._join(caller)
         elif not caller.joined:
             raise Spoilt(f"{str(kind)[:32]!r} before a joining")
         else:
             self._report(message)
 
-    def _join(self, caller: Caller, zone: str) -> None:
-        if zone not in self.zones:
-            raise Spoilt(f"zone {zone!r} does not exist")
+    def _join(self, caller: Caller) -> None:
         if caller.joined:
             return
         caller.joined = True
@@ -137,8 +160,8 @@
         self.unjoined.pop(caller, None)
         self.joined[caller] = None
         self.counts["joined"] += 1
-        if len(self.joined) > COLLECTORS_MOST:
-            self._evict(self.joined)
+        if len(self.joined) > self.limits.joined:   # collectors report each period: whoever is quietest is none, or left
+            self._evict(self.joined, min(self.joined, key=lambda one: one.heard_at))
 
     def _report(self, message: dict[str, Any]) -> None:
         self.counts["reports"] += 1
--- a/cedarshift/platform/service.py
+++ b/cedarshift/platform/service.py
@@ -16,7 +16,7 @@
 from cedarshift.codec.platform.place import Place
 from cedarshift.interface import pulled
 from cedarshift.loop import Loop
-from cedarshift.platform.collectors import Collectors
+from cedarshift.platform.collectors import Collectors, Limits
 from cedarshift.platform.discovery import Discovery
 from cedarshift.platform.redial import Chance, Report
 from cedarshift.platform.relay import Calls, News, Turn
@@ -66,7 +66,9 @@
                            lambda: bool(self.proxies), report)
         self.news = News(loop, place.relay, self, report, chance)
         self.discovery = Discovery(loop, place.discovery, place.known, self.on_list, report, chance)
-        self.collectors = Collectors(loop, listener, place.sockets, self.zones, self.on_report, report)
+        reports_a_period = self.slices_in_all * max(1, len(self.op_types)) + len(self.brain.endpoints)
+        limits = Limits.of(place.sockets, len(self.zones), reports_a_period)
+        self.collectors = Collectors(loop, listener, limits, self.zones, self.on_report, report)
         self._wake_up(0, 0)
 
     def move(self, place: Place) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -310,3 +310,104 @@
     assert stage.discovery.accept().request()[0].startswith("GET ")
 
 
+# ---- the pilot's address
+
+def test_a_collector_that_was_quiet_may_send_its_next_report_in_pieces(stage):
+    stage.begin()
+    collector = stage.call().say(frame(t="agent", locality="za"))
+    report = frame(**MET)
+    for quiet in (1, 30, 300):
+        stage.loop.advance(quiet)
+        collector.say(report[:9])
+        stage.loop.advance(collectors.HALF_FOR / SECOND - 0.1)
+        collector.say(report[9:])
+    assert stage.pilot.collectors.counts["reports"] == 3 and collector.look().ended is None
+
+
+def test_a_report_that_takes_too_long_to_come_whole_ends_its_connection(stage):
+    stage.begin()
+    collector = stage.call().say(frame(t="agent", locality="za"))
+    stage.loop.advance(30)
+    collector.say(frame(**MET)[:9])
+    for _ in range(4):
+        stage.loop.advance(collectors.HALF_FOR / SECOND / 4)
+        if collector.look().ended is None:
+            collector.say(b" ")
+    assert collector.until_ended() and not stage.pilot.collectors.joined
+
+
+def test_strangers_that_join_and_say_nothing_push_out_no_collector_that_reports(stage):
+    stage.begin()
+    limits = stage.pilot.collectors.limits
+    collector = stage.call().say(frame(t="agent", locality="za"))
+    strangers = []
+    for _ in range(limits.joined + 5):
+        strangers.append(stage.call().say(frame(t="agent", locality="zb")))
+        stage.loop.advance(0.01)
+        collector.say(frame(**MET))
+    assert collector.look().ended is None and stage.pilot.collectors.counts["reports"] == limits.joined + 5
+    assert sum(one.look().ended is not None for one in strangers) == 6
+    assert len(stage.pilot.collectors.joined) == limits.joined
+
+
+def test_a_connection_that_is_reset_before_it_is_accepted_harms_no_other(stage):
+    stage.begin()
+    gone, here = stage_calls = [call_to(stage.loop, stage.listener.address) for _ in range(2)]
+    gone.sock.sendall(frame(t="probe"))
+    gone.reset()
+    here.say(frame(t="probe"))
+    assert here.until(frame(t="alive")) and len(stage_calls) == 2
+    here.close()
+    stage.loop.settle()
+    assert not stage.pilot.collectors.unjoined
+
+
+def test_bytes_and_the_end_that_come_in_one_step_are_both_heard(stage):
+    stage.begin()
+    probe = stage.call()
+    probe.sock.sendall(frame(t="probe"))
+    probe.finish()                           # before the loop has accepted it
+    stage.loop.settle()
+    assert probe.until(frame(t="alive")) and probe.until_ended()
+    collector = stage.call()
+    collector.sock.sendall(frame(t="agent", locality="za") + frame(**MET))
+    collector.finish()
+    stage.loop.settle()
+    assert stage.pilot.collectors.counts["reports"] == 1 and not stage.pilot.collectors.joined
+
+
+def test_an_accept_that_the_kernel_aborts_hides_none_behind_it(stage, monkeypatch):
+    stage.begin()
+    door = stage.listener.door
+    accept, aborted = door.sock.accept, [ConnectionAbortedError(103, "aborted")]
+
+    class Aborting:
+        def accept(self):
+            if aborted:
+                raise aborted.pop()
+            return accept()
+    monkeypatch.setattr(door, "sock", Aborting())
+    probe = stage.call().say(frame(t="probe"))
+    assert probe.until(frame(t="alive"))
+
+
+@pytest.mark.parametrize("sockets, zones, reports", [(64, 1, 10), (256, 2, 8), (1_024, 200, 300_000), (96, 60, 10)])
+def test_limits_follow_the_settings_and_leave_descriptors_for_the_pilot_itself(sockets, zones, reports):
+    limits = Limits.of(sockets, zones, reports)
+    assert limits.unjoined + limits.joined <= sockets * 3 // 4
+    assert limits.joined >= min(zones, sockets // 2) and limits.messages >= reports
+
+
+def test_a_site_without_zones_hears_its_collector():
+    settings = {**a_settings(), "zones": []}
+    stage = Stage(settings=settings)
+    stage.begin(zone="")
+    collector = stage.call().say(frame(t="agent", locality=""))
+    collector.say(frame(**{**MET, "locality": ""}))
+    assert stage.pilot.collectors.counts == {**stage.pilot.collectors.counts, "reports": 1, "spoilt": 0, "sent_away": 0}
+    assert len(stage.brain.endpoints["a"].samples) == 1
+
+
+def a_settings():
+    from platform_parts import SETTINGS
+    return SETTINGS
