A stream that stalls in what stands takes nothing away; unanswered orders are looked for

Three crossings of the event stream, found by reading relay.py and service.py. 1. What stands was taken for whole after 50 ms without a byte. A stall in the middle took the missing proxies for left and the missing slices for taken; a proxy "away" for a lease is not waited for, though it never left. Now what is missing goes at the first sign of life. 2. An order unanswered over 0.7 s of silence: its slice was given anew by a line that may be older than the order's try (known, in the roadmap). Now what stands is asked for once more when the call has ended, and nothing is ordered until then. 3. A slice given without a line: the line told after the pilot's own grant counted as the giving's, and ended a hand-over begun meanwhile.

test_platform's test of a silent stream let no sign of life come ever again and held that a missing proxy is gone all the same, which is the fault of 1; it now asserts that the proxy is still there before the sign, and the same as ever after it.

--- a/cedarshift/platform/relay.py
+++ b/cedarshift/platform/relay.py
@@ -182,6 +182,7 @@
     """Who hears the news, in the order in which it came."""
 
     def on_standing(self, proxies: dict[int, str], slices: dict[int, str], silent: int, asked: int) -> None: ...
+    def on_settled(self) -> None: ...
     def on_join(self, proxy: int, zone: str) -> None: ...
     def on_leave(self, proxy: int) -> None: ...
     def on_ack(self, proxy: int, mark: int, latency: int) -> None: ...
@@ -233,13 +234,19 @@
         self.counts["streams"] += 1
         stream = news.EventStream()
         yield from self._stand(followed, stream)
+        settled = False
         while True:
+            if not settled and stream.signs:
+                settled = True
+                self.hearer.on_settled()
             piece = yield from self._piece(followed, SILENCE_MOST)
             self.heard_at = self.loop.now()
             self._pass_on(stream, piece, self.hearer)
 
     def _stand(self, followed: Followed, stream: news.EventStream) -> Coroutine:
-        """Takes in what stands until it has all come: at the first sign of life, or when no more follows at once."""
+        """Takes in what stands until it has probably all come: at the first sign of life, or when no more follows at once. A
+        stream that stalls in the middle looks alike: so what is missing counts as gone only at the first sign of life, by
+        `on_settled`."""
         standing = Standing()
         pauses, came = 0, False
         while pauses < 2 and not stream.signs:
--- a/cedarshift/platform/service.py
+++ b/cedarshift/platform/service.py
@@ -55,6 +55,8 @@
         self.slices: dict[int, str] = {}     # in charge -> the owner in the store's line, "" for none
         self.unread: set[int] = set()        # given a moment ago: their lines come next
         self.taken_at: dict[int, int] = {}   # slice -> when the newest order for it was known to be taken (us)
+        self.missing_proxies: set[int] = set()   # joined, but not in what stands so far, which may be still on its way
+        self.missing_slices: set[int] = set()    # in charge, but not in what stands so far
         self.doubted = 0                     # us of silence after which what stands is asked for once more; 0: no doubt
         self.closed: dict[int, str] = {}     # slice -> order that opens its op types again, where they are shut
         self.marks: dict[int, Marked] = {}   # oldest first
@@ -98,10 +100,12 @@
             raise Spoilt(f"t: {kind!r}, {reports.MET} or {reports.HEAT} is allowed from a collector")
 
     def on_join(self, proxy: int, zone: str) -> None:
+        self.missing_proxies.discard(proxy)
         self.proxies[proxy] = zone
         self.brain.on_join(self._now(), proxy, zone)
 
     def on_leave(self, proxy: int) -> None:
+        self.missing_proxies.discard(proxy)
         self.proxies.pop(proxy, None)
         self.brain.on_leave(self._now(), proxy)
 
@@ -118,6 +122,7 @@
         self.brain.on_ack(self._now(), proxy, mark, latency + units.up(before, UNIT))
 
     def on_given(self, slice_id: int) -> None:
+        self.missing_slices.discard(slice_id)
         self.slices[slice_id] = ""
         self.unread.add(slice_id)
         self.closed.pop(slice_id, None)
@@ -125,6 +130,7 @@
         self.brain.on_given(self._now(), slice_id, True)
 
     def on_taken(self, slice_id: int) -> None:
+        self.missing_slices.discard(slice_id)
         self.slices.pop(slice_id, None)
         self.unread.discard(slice_id)
         self.taken_at.pop(slice_id, None)
@@ -142,17 +148,16 @@
     def on_standing(self, proxies: dict[int, str], slices: dict[int, str], silent: int, asked: int) -> None:
         """What stands, after `silent` us without news, by a stream that was asked for at `asked`. Any stream may have broken and
         come back in the gap, so each proxy joins anew: who has not acked a revoke is marked again. Where the gap was long and
-        an order was taken since `asked`, neither this pilot's memory nor the stream is sure: it is asked once more, and nothing
-        is ordered until then."""
+        an order was taken since `asked`, or may be on its way, neither this pilot's memory nor the stream is sure: it is asked once
+        more, and nothing is ordered until then. What is missing may be still to come: it is gone at `on_settled`."""
         silent = max(silent, self.doubted)
         doubtful = {slice_id for slice_id in slices if silent >= AWAY_LEAST and self._newer(slice_id, asked)}
-        self.doubted = silent if doubtful else 0
-        for proxy in sorted(set(self.proxies) - set(proxies)):
-            self.on_leave(proxy)
+        on_the_way = {slice_id for slice_id in slices if silent >= AWAY_LEAST and self.calls.under_way(slice_id)}
+        self.doubted = silent if doubtful or on_the_way else 0
+        self.missing_proxies = set(self.proxies) - set(proxies)
+        self.missing_slices = set(self.slices) - set(slices)
         for proxy, zone in sorted(proxies.items()):
             self.on_join(proxy, zone)
-        for slice_id in sorted(set(self.slices) - set(slices)):
-            self.on_taken(slice_id)
         anew = [(slice_id, endpoint) for slice_id, endpoint in sorted(slices.items())
                 if slice_id not in doubtful and not self._stayed(slice_id, endpoint, silent, asked)]
         for slice_id, endpoint in anew:
@@ -163,6 +168,13 @@
             self.news.stream.again()
         self._pull()
 
+    def on_settled(self) -> None:
+        """All that stands has come, since a sign of life has come behind it."""
+        for proxy in sorted(self.missing_proxies):
+            self.on_leave(proxy)
+        for slice_id in sorted(self.missing_slices):
+            self.on_taken(slice_id)
+
     def _newer(self, slice_id: int, asked: int) -> bool:
         """Whether an order for a slice was taken since a stream was asked for, whose lines may then be those of before."""
         return slice_id in self.slices and self.taken_at.get(slice_id, asked - 1) >= asked
@@ -244,6 +256,7 @@
     def _order(self, turn: Turn) -> None:
         self.counts["turns"] += 1
         self.report("turn", orders=len(turn.left), texts=";".join(one.text for one in turn.left)[:TURN_SHOWN])
+        self.unread -= {one.slice_id for one in turn.left if one.line is not None}   # a line told from now on is this order's
         for mark in turn.marks:
             self.marks.pop(mark, None)
             self.marks[mark] = Marked(turn.at)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -185,6 +185,90 @@
     assert 0 not in stage.pilot.slices and 0 not in stage.brain.slices and 0 not in stage.pilot.taken_at
 
 
+# ---- what stands
+
+def told_anew(stage, stream, gap, text):
+    """The stream breaks, and after `gap` seconds a new one is answered with `text`, which is returned."""
+    stream.reset()
+    stage.loop.settle()
+    stage.loop.advance(gap)
+    stream = stage.relay.accept()
+    assert stream.request()[0].startswith("GET /api/stream")
+    stream.say(CHUNKED + chunk(text))
+    return stream
+
+
+def test_a_stream_that_stalls_in_the_middle_of_what_stands_takes_nothing_away(stage):
+    stream, _ = stage.begin(proxies=(0, 1, 2))
+    whole = standing(proxies=(0, 1), slices={0: "a", 1: "b", 2: "a"})
+    half = len(standing(proxies=(0,), slices={})) - len(":\n\n")
+    stream = told_anew(stage, stream, 0.1, whole[:half])
+    for _ in range(4):
+        stage.loop.advance(0.5)              # it was taken for all that stands long ago
+    assert len(stage.loop.reported("standing")) == 2
+    assert all(stage.brain.proxies[n].joined for n in (0, 1, 2)) and sorted(stage.brain.slices) == [0, 1, 2, 3]
+    stream.say(chunk(whole[half:]))
+    assert [stage.brain.proxies[n].joined for n in (0, 1, 2)] == [True, True, False]
+    assert sorted(stage.brain.slices) == sorted(stage.pilot.slices) == [0, 1, 2]
+    assert not stage.pilot.missing_proxies and not stage.pilot.missing_slices
+
+
+@pytest.mark.parametrize("event, joined, left", [("bye", "node=1", True), ("hello", "node=1&locality=za&w=1&cold=0", False)])
+def test_an_event_that_comes_before_the_first_sign_of_life_counts_once(stage, event, joined, left):
+    stream, _ = stage.begin()
+    text = standing(proxies=(0,))[:-len(":\n\n")]
+    stream = told_anew(stage, stream, 0.1, text)
+    stage.loop.advance(0.1)
+    stage.loop.advance(0.1)
+    stream.say(chunk(news(event, joined)))
+    assert stage.brain.proxies[1].joined is not left
+    at = stage.brain.proxies[1].left_at
+    stage.loop.advance(0.5)
+    stream.say(chunk(":\n\n"))
+    assert stage.brain.proxies[1].joined is not left and stage.brain.proxies[1].left_at == at
+
+
+@pytest.mark.parametrize("carried_out", [True, False])
+def test_an_order_unanswered_over_a_long_silence_is_looked_for_once_more_in_what_stands(stage, carried_out):
+    """The stand was read before the relay carried out the order, whose answer is lost: only a later stand tells of it."""
+    stream, _ = stage.begin()
+    stage.brain.weighed_at = 10**15          # the module decides nothing else meanwhile
+    stage.order(("line", 0, "b", 1))
+    call = stage.relay.accept()
+    call.request()
+    stream.reset()
+    stage.loop.settle()
+    stage.loop.clock.time += 200_000         # before the call is given up
+    stream = stage.relay.accept()
+    stage.pilot.news.heard_at -= 1_000_000   # a silence that began long before
+    stream.request()
+    stream.say(CHUNKED + chunk(standing()))
+    assert len(stage.loop.reported("standing")) == 2 and stage.brain.slices[0].owner == "a"
+    call.reset()                             # carried out or not: nobody says
+    stage.loop.settle()
+    stage.loop.advance(redial.REDIAL_MOST / SECOND)
+    stream = stage.relay.accept()
+    assert stream.request()[0].startswith("GET /api/stream")
+    stream.say(CHUNKED + chunk(standing(slices={0: "b" if carried_out else "a", 1: "b", 2: "a", 3: "b"})))
+    assert stage.brain.slices[0].owner == stage.pilot.slices[0] == ("b" if carried_out else "a")
+    assert not stage.pilot.doubted and not stage.calls.busy
+
+
+def test_the_line_of_a_pilot_s_own_grant_that_comes_late_ends_no_hand_over(stage):
+    """A slice is given without a line. The line that its grant leaves is told when the next hand-over has begun."""
+    stream, _ = stage.begin(slices={0: "", 1: "b"})
+    stage.brain.weighed_at = 10**15
+    assert stage.brain.slices[0].state == REVOKING
+    slice_ = stage.brain.slices[0]
+    stage.order(("line", 0, "a", 1))
+    call = stage.relay.accept()
+    call.request()
+    call.say(answer(taken(1)))
+    slice_.state, slice_.owner, slice_.line = REVOKING, "a", True
+    stream.say(chunk(news("line", "shard=0&endpoint=a&w=1.0")))
+    assert stage.brain.slices[0] is slice_ and slice_.state == REVOKING and stage.pilot.slices[0] == "a"
+
+
 # ---- new addresses
 
 def test_an_answer_under_way_at_the_old_address_counts_and_its_connection_goes(stage):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -152,6 +152,9 @@
         stage.relay.cut()
     else:
         stage.signs = False
+        stage.run(3)
+        assert stage.brain.proxies[0].joined and 0 in stage.brain.slices   # no sign of life yet: what stands may be still to come
+        stage.signs = True
     stage.run(4)
     assert stage.pilot.news.counts["streams"] >= 2 and (how == "cut" or stage.relay.left)
     assert {n for n, p in stage.brain.proxies.items() if p.joined} == {1, 2, 3}
