A start waits for a file being replaced or an address about to be free; signal crossings

Seen by reading platform/start.py: a restart that met the replacing of the configuration (missing, empty, half written) or the last moments of the former process on its address ended with exit code 2, which counts as a crash. Now both are tried again for 3 s, and a signal to stop is obeyed meanwhile; a file that is whole and wrong is refused at once, as before. A log whose reader is gone raised in whoever wrote a line, and so ended the watch or the stream that had just broken; report() never raises now.

--- a/cedarshift/codec/platform/errors.py
+++ b/cedarshift/codec/platform/errors.py
@@ -12,3 +12,7 @@
 
 class Refused(Exception):
     """A file or variable that a pilot can't start with; the text has place and reason."""
+
+
+class Unfinished(Refused):
+    """A file that may be in the middle of being written or replaced: it may be whole a moment later."""
--- a/cedarshift/codec/platform/place.py
+++ b/cedarshift/codec/platform/place.py
@@ -6,7 +6,7 @@
 import orjson
 
 from cedarshift.codec.platform import entries, fields
-from cedarshift.codec.platform.errors import Refused, Spoilt
+from cedarshift.codec.platform.errors import Refused, Spoilt, Unfinished
 from cedarshift.codec.platform.settings import terms
 from cedarshift.interface import Terms
 
@@ -55,11 +55,11 @@
 
 
 def place(told: Variables, data: bytes) -> Place:
-    """The configuration's text. Raises Refused with the place and what is allowed there."""
+    """The configuration's text. Raises Refused with the place and what is allowed there, Unfinished where it is no JSON."""
     try:
         raw = orjson.loads(data)
     except orjson.JSONDecodeError as error:
-        raise Refused(f"{told.config}:{error.lineno}:{error.colno}: no JSON: {error.msg}") from None
+        raise Unfinished(f"{told.config}:{error.lineno}:{error.colno}: no JSON: {error.msg}") from None
     if not isinstance(raw, dict):
         raise Refused(f"{told.config}: a JSON {type(raw).__name__}, an object is allowed")
     try:
--- a/cedarshift/platform/log.py
+++ b/cedarshift/platform/log.py
@@ -15,6 +15,7 @@
 
 
 def make_report(clock: Clock, name: str, write: Callable[[str], Any] = sys.stderr.write) -> Callable[..., None]:
+    """`report(event, **fields)`. It never raises: whoever reads the log may be gone, and the work goes on without."""
     spans: dict[str, tuple[int, int]] = {}   # event -> when its span began, lines since
 
     def report(event: str, **fields: Any) -> None:
@@ -28,5 +29,8 @@
         if lines >= LINES_A_SPAN:
             return
         line = {"at_ms": now // 1000, "pilot": name, "event": event, **fields, **({"held_back": held} if held else {})}
-        write(orjson.dumps(line, default=str, option=orjson.OPT_NON_STR_KEYS).decode() + "\n")
+        try:
+            write(orjson.dumps(line, default=str, option=orjson.OPT_NON_STR_KEYS).decode() + "\n")
+        except (OSError, ValueError):        # a reader that is gone, or a text that can't be encoded
+            pass
     return report
--- a/cedarshift/platform/start.py
+++ b/cedarshift/platform/start.py
@@ -1,13 +1,14 @@
 """The pilot as a process: started from variables and a file, moved by SIGHUP, ended by SIGTERM."""
 from __future__ import annotations
 
+import errno
 import gc
 import random
 import signal
 import sys
 from typing import Callable, Mapping
 
-from cedarshift.codec.platform.errors import Refused
+from cedarshift.codec.platform.errors import Refused, Unfinished
 from cedarshift.codec.platform.place import Place, Variables, place, variables
 from cedarshift.loop import Loop, listen
 from cedarshift.loop.core import Coroutine
@@ -18,18 +19,20 @@
 # Constants: unit, then the reason for the size.
 REREADS_MOST = 20         # times that a configuration is read again after a signal: it may be half written
 REREAD_AFTER = 100_000    # us between them
+START_WITHIN = 3_000_000  # us that a start waits for a file that is being replaced, or for a former process to leave the address
 FIGURES_EVERY = 5_000_000  # us; how often the log tells the pilot's counts
 CALLER_UNREAD = 65_536    # bytes that may wait for a caller: nobody but a prober is sent anything
+REFUSED = 2               # exit code of a start that was refused
 CONFIG_MOST = 16 << 20    # bytes; a list of 10,000 endpoints has about 2 MB
 
 
 def read_place(told: Variables) -> Place:
-    """Raises Refused with the file, the place in it and the reason."""
+    """Raises Refused with the file, the place in it and the reason; Unfinished where it may be whole a moment later."""
     try:
         with open(told.config, "rb") as source:
             data = source.read(CONFIG_MOST + 1)
     except OSError as error:
-        raise Refused(f"{told.config}: {error.strerror}") from None
+        raise Unfinished(f"{told.config}: {error.strerror}") from None
     if len(data) > CONFIG_MOST:
         raise Refused(f"{told.config}: over {CONFIG_MOST} bytes")
     return place(told, data)
@@ -40,23 +43,54 @@
     signals = Signals(loop, loop.network, [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])  # type: ignore[arg-type]
     try:
         told = variables(environ)
-        first = read_place(told)
-        listener = listen(loop, first.listen, first.sockets, CALLER_UNREAD)
-    except (Refused, OSError) as error:
-        print(f"cedarshift platform: {error}", file=sys.stderr)
-        return 2
+    except Refused as error:
+        return refuse(error)
     report = loop.report = make_report(loop.clock, told.name)
+    return loop.run(loop.spawn(serve(loop, signals, told, report), "main"))
+
+
+def refuse(error: Exception) -> int:
+    print(f"cedarshift platform: {error}", file=sys.stderr)
+    return REFUSED
+
+
+def serve(loop: Loop, signals: Signals, told: Variables, report: Callable[..., None]) -> Coroutine:
+    """Starts the pilot and ends with the exit code."""
+    try:
+        started = yield from begun(loop, signals, lambda: read_place(told), report)
+    except (Refused, OSError) as error:
+        return refuse(error)
+    if started is None:
+        return 0
+    first, listener = started
     pilot = PlatformPilot(loop, first, wall_clock() - loop.now(), listener, report, random.Random(fresh_bytes(8)).random)
     report("pilot_serves", address=f"{first.listen[0]}:{first.listen[1]}", slices=first.terms.slices,
            listed=0 if first.known is None else len(first.known.entries), sockets=first.sockets)
     gc.collect()
     gc.freeze()                              # what a start made lives as long as the process: no collection looks at it
     loop.spawn(tell_figures(loop, pilot, report), "figures")
-    code = loop.run(loop.spawn(until_stopped(loop, signals, lambda: read_place(told), pilot, report), "main"))
+    code = yield from until_stopped(loop, signals, lambda: read_place(told), pilot, report)
     report("pilot_stopped", **figures(pilot))
     return code
 
 
+def begun(loop: Loop, signals: Signals, read: Callable[[], Place], report: Callable[..., None]) -> Coroutine:
+    """The configuration and a listener at its address; None where a signal to stop came first. A file that is being replaced
+    and an address that a former process is about to leave are waited for, START_WITHIN in all; then Refused or OSError."""
+    until = loop.now() + START_WITHIN
+    while True:
+        try:
+            first = read()
+            return first, listen(loop, first.listen, first.sockets, CALLER_UNREAD)
+        except (Unfinished, OSError) as error:
+            if loop.now() >= until or isinstance(error, OSError) and error.errno != errno.EADDRINUSE:
+                raise
+            report("start_waits", reason=str(error))
+        yield from loop.sleep(REREAD_AFTER)
+        if any(number != signal.SIGHUP for number in signals.came):
+            return None
+
+
 def until_stopped(loop: Loop, signals: Signals, read: Callable[[], Place], pilot: PlatformPilot,
                   report: Callable[..., None]) -> Coroutine:
     """Ends with the exit code at SIGTERM: what it held is no longer its duty, and proxies go elsewhere at once."""
