Tests of the hand-over over real sockets with another event in the middle of each

Late, duplicate and foreign acks, proxies that leave, come back and join, a slice taken away and given back, an owner that is ready again, a target that leaves in the instant of its grant, answers lost and streams reset before and after revoke and grant: 21 tests, the whole door and the module, on loopback sockets and a clock that moves by beats.

--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,254 @@
+"""A slice's hand-over, from the list's word to the grant, over real sockets, with another event put in the middle of it."""
+import json
+
+import pytest
+
+from platform_parts import instance, listing
+from scripted_peers import CHUNKED, SECOND, AnsweringRelay, Stage, chunk, standing
+
+LEASE, SETTLE = 0.8, 1.0  # s, of the settings
+BEAT = 0.025              # s; the module looks so often
+OWNERS = {0: "a", 1: "b", 2: "c", 3: "b"}
+
+
+class Scene:
+    """Three endpoints, two proxies, four slices; `a` owns slice 0 alone. Time moves by beats, with signs of life."""
+
+    def __init__(self):
+        known = listing(7, instance("a"), instance("b"), instance("c"), reset=True)
+        self.stage = Stage(known=known)
+        self.relay = AnsweringRelay(self.stage)
+        self.relay.stands = standing(slices=OWNERS)
+        self.watch = self.stage.discovery.accept()
+        self.watch.request()
+        self.watch.say(CHUNKED + chunk("\n"))
+        self.beats = 0
+        self.run(1.5)
+        assert len(self.stage.loop.reported("standing")) == 1
+
+    def run(self, seconds):
+        for _ in range(round(seconds / BEAT)):
+            self.stage.loop.clock.time += int(BEAT * SECOND)
+            self.stage.loop.settle(wait=0)   # what comes a beat late is no matter
+            self.relay.look()
+            self.stage.loop.settle(wait=0)
+            self.beats += 1
+            if self.beats % 20 == 0:
+                self.watch.say(chunk("\n"))
+                if self.relay.stream is not None and not self.relay.stream.look().ended:
+                    self.relay.stream.say(chunk(":\n\n"))
+        return self
+
+    def until(self, found, within=6.0):
+        for _ in range(round(within / BEAT)):
+            if (got := found()) is not None:
+                return got
+            self.run(BEAT)
+        raise AssertionError("what is waited for has not come")
+
+    def list(self, revision, *instances):
+        self.watch.say(chunk(json.dumps(listing(revision, *instances)) + "\n"))
+
+    def ordered(self, start, since=0):
+        """(time in s, order) of the first order carried out that begins so, from the one numbered `since` on; None where there is none."""
+        return next(((at / SECOND, one) for at, one in self.relay.orders[since:] if one.startswith(start)), None)
+
+    def revoke(self):
+        """`a` drains, and the revoke of slice 0 goes out; the number of its mark."""
+        self.list(8, instance("a", "draining"))
+        at, _ = self.until(lambda: self.ordered("admit,0,put,0,"))
+        return self.mark_since(at)
+
+    def mark_since(self, at):
+        _, mark = self.until(lambda: next(((t, one) for t, one in self.relay.orders if t >= at * SECOND and one.startswith("mark,")), None))
+        return int(mark.split(",")[1])
+
+    def ack(self, proxy, mark):
+        """Now, and with the latency that this makes: from when the relay took the mark."""
+        taken_at = next((at for at, one in self.relay.orders if one.startswith(f"mark,{mark},")), self.stage.loop.now())
+        latency = (self.stage.loop.now() - taken_at) / 1_000
+        self.relay.say(("ack", f"node={proxy}&nonce={mark}&latency={latency}"))
+
+    def now(self):
+        return self.stage.loop.now() / SECOND
+
+    def grant(self, within=6.0):
+        """(time, endpoint) of the first grant of slice 0."""
+        at, order = self.until(lambda: next(((t / SECOND, one) for t, one in self.relay.orders
+                                             if one.startswith("share,0,") and one.endswith(",1")), None), within)
+        return at, order.split(",")[2]
+
+    def grants(self):
+        return [one for _, one in self.relay.orders if one.startswith("share,0,") and one.endswith(",1")]
+
+
+@pytest.fixture
+def scene():
+    scene = Scene()
+    yield scene
+    loop = scene.stage.loop
+    assert not loop.reported("task_failed") and not loop.reported("module_failed") and not loop.reported("timer_failed")
+
+
+def test_a_grant_waits_for_the_last_proxy_s_ack_and_the_settle_time(scene):
+    mark = scene.revoke()
+    scene.ack(0, mark)
+    scene.run(0.5)
+    scene.ack(1, mark)
+    last = scene.now()
+    at, endpoint = scene.grant()
+    assert last + SETTLE - 0.01 <= at <= last + SETTLE + 0.5 and endpoint in ("b", "c")
+    scene.run(2)
+    assert len(scene.grants()) == 1 and scene.stage.pilot.slices[0] == endpoint
+
+
+@pytest.mark.parametrize("acks", ["twice by one", "of an older mark", "of no mark", "of a proxy that is not joined"])
+def test_no_other_ack_stands_for_the_one_that_is_missing(scene, acks):
+    mark = scene.revoke()
+    scene.ack(0, mark)
+    proxy, number = {"twice by one": (0, mark), "of an older mark": (1, mark - 1), "of no mark": (1, (mark + 300) % 65_536),
+                     "of a proxy that is not joined": (7, mark)}[acks]
+    scene.ack(proxy, number)
+    scene.run(LEASE + SETTLE + 0.6)
+    assert not scene.grants()
+    scene.ack(1, mark)
+    last = scene.now()
+    assert scene.grant()[0] >= last + SETTLE - 0.01
+
+
+def test_a_proxy_that_leaves_is_waited_for_no_longer_than_its_lease(scene):
+    mark = scene.revoke()
+    scene.ack(0, mark)
+    scene.relay.say(("bye", "node=1"))
+    left = scene.now()
+    at, _ = scene.grant()
+    assert left + LEASE + SETTLE - 0.01 <= at <= left + LEASE + SETTLE + 0.5
+
+
+def test_a_proxy_that_comes_back_within_its_lease_still_has_to_ack(scene):
+    mark = scene.revoke()
+    scene.ack(0, mark)
+    scene.relay.say(("bye", "node=1"))
+    scene.run(LEASE / 2)
+    scene.relay.say(("hello", "node=1&locality=za&w=2.5&cold=0"))
+    back = scene.now()
+    scene.run(LEASE + SETTLE)
+    assert not scene.grants()
+    scene.ack(1, scene.mark_since(back - BEAT))
+    last = scene.now()
+    assert scene.grant()[0] >= last + SETTLE - 0.01
+
+
+@pytest.mark.parametrize("anyone_acked", [True, False])
+def test_a_proxy_that_joins_in_the_middle_is_waited_for_unless_the_store_surely_held_the_revoke(scene, anyone_acked):
+    """It reads the store as it joins. That held the revoke if anyone had acked its mark by then."""
+    mark = scene.revoke()
+    if anyone_acked:
+        scene.ack(0, mark)
+    scene.relay.say(("hello", "node=2&locality=za&w=2.5&cold=1"))
+    joined = scene.now()
+    if not anyone_acked:
+        scene.ack(0, mark)
+    scene.ack(1, mark)
+    last = scene.now()
+    if not anyone_acked:
+        scene.run(SETTLE + 0.5)
+        assert not scene.grants()
+        scene.ack(2, scene.mark_since(joined))
+        last = scene.now()
+    assert last + SETTLE - 0.01 <= scene.grant()[0] <= last + SETTLE + 0.5
+
+
+@pytest.mark.parametrize("line", ["a", "c", ""])
+def test_a_slice_that_is_taken_away_and_given_back_is_as_the_store_s_line_says(scene, line):
+    mark = scene.revoke()
+    scene.ack(0, mark)
+    events = [("lease", "shard=0&set=0"), ("lease", "shard=0&set=1")]
+    if line:
+        events.append(("line", f"shard=0&endpoint={line}&w=1.0"))
+    scene.relay.say(*events)
+    back = scene.now()
+    scene.ack(1, mark)                       # of the hand-over that was cut off
+    if line == "c":
+        scene.run(3)
+        assert not scene.grants() and scene.stage.brain.slices[0].owner == "c"
+    elif line == "":
+        assert scene.grant()[0] >= back + LEASE + SETTLE - 0.01
+    else:                                    # it drains still: revoked anew, and only acks of that count
+        second = scene.mark_since(back + 0.001)
+        scene.run(SETTLE + 0.5)
+        assert not scene.grants()
+        for proxy in (0, 1):
+            scene.ack(proxy, second)
+        last = scene.now()
+        assert scene.grant()[0] >= last + SETTLE - 0.01
+
+
+@pytest.mark.parametrize("phase", ["draining", "gone"])
+def test_an_endpoint_that_leaves_in_the_instant_of_a_grant_is_not_granted(scene, phase):
+    mark = scene.revoke()
+    for proxy in (0, 1):
+        scene.ack(proxy, mark)
+    scene.run(SETTLE - 2 * BEAT)
+    assert not scene.grants()
+    scene.list(9, instance("b", phase))
+    assert scene.grant()[1] == "c"
+
+
+def test_an_owner_that_is_ready_again_before_the_grant_keeps_its_slice_and_its_writes(scene):
+    mark = scene.revoke()
+    scene.ack(0, mark)
+    scene.list(9, instance("a"))
+    at, _ = scene.until(lambda: scene.ordered("admit,0,put,1,"))
+    scene.ack(1, mark)
+    scene.run(LEASE + SETTLE + 0.5)
+    assert not scene.grants() and not scene.ordered("share,0,") and scene.stage.brain.slices[0].owner == "a"
+
+
+@pytest.mark.parametrize("fate, again", [("lost", True), ("unheard", True)])
+def test_a_revoke_whose_answer_is_lost_counts_no_sooner_than_it_was_carried_out(scene, fate, again):
+    scene.relay.script = [fate]
+    mark = scene.revoke()
+    carried_out = scene.ordered("admit,0,put,0,")[0]
+    for proxy in (0, 1):
+        scene.ack(proxy, mark)
+    last = scene.now()
+    at, _ = scene.grant()
+    assert at >= max(last, carried_out) + SETTLE - 0.01
+    assert len(scene.grants()) == 1
+
+
+@pytest.mark.parametrize("when", ["before the acks", "between the acks", "in the settle time"])
+def test_a_stream_reset_in_the_middle_of_a_hand_over_lets_no_grant_come_sooner(scene, when):
+    mark = scene.revoke()
+    if when != "before the acks":
+        scene.ack(0, mark)
+    if when == "in the settle time":
+        scene.ack(1, mark)
+        last = scene.now()
+        scene.run(SETTLE / 2)
+    scene.relay.stream.reset()
+    scene.relay.stream = None
+    scene.until(lambda: len(scene.stage.loop.reported("standing")) == 2 or None)
+    if when != "in the settle time":
+        scene.run(0.2)
+        for proxy in (0, 1):
+            scene.ack(proxy, mark)           # of the mark as ordered; a later one of theirs would do as well
+        last = scene.now()
+    assert scene.grant()[0] >= last + SETTLE - 0.01
+    assert len(scene.grants()) == 1
+
+
+def test_a_grant_whose_answer_is_lost_before_a_stream_reset_is_made_once_for_one_owner(scene):
+    mark = scene.revoke()
+    for proxy in (0, 1):
+        scene.ack(proxy, mark)
+    scene.run(SETTLE - BEAT)
+    scene.relay.script = ["unheard"]
+    at, endpoint = scene.grant()
+    scene.relay.stands = standing(slices={**OWNERS, 0: endpoint})
+    scene.relay.stream.reset()
+    scene.relay.stream = None
+    scene.run(3)
+    assert set(scene.grants()) == {f"share,0,{endpoint},1"}
+    assert scene.stage.brain.slices[0].owner == scene.stage.pilot.slices[0] == endpoint
