--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from cedarshift.brain import MARKS
 from platform_parts import instance, listing
 from scripted_peers import CHUNKED, SECOND, AnsweringRelay, Stage, chunk, standing
 
@@ -59,14 +60,23 @@
         at, _ = self.until(lambda: self.ordered("admit,0,put,0,"))
         return self.mark_since(at)
 
-    def mark_since(self, at):
-        _, mark = self.until(lambda: next(((t, one) for t, one in self.relay.orders if t >= at * SECOND and one.startswith("mark,")), None))
+    def mark_since(self, at, within=6.0):
+        _, mark = self.until(lambda: next(((t, one) for t, one in self.relay.orders if t >= at * SECOND and one.startswith("mark,")), None),
+                             within)
         return int(mark.split(",")[1])
 
-    def ack(self, proxy, mark):
-        """Now, and with the latency that this makes: from when the relay took the mark."""
-        taken_at = next((at for at, one in self.relay.orders if one.startswith(f"mark,{mark},")), self.stage.loop.now())
-        latency = (self.stage.loop.now() - taken_at) / 1_000
+    def older_mark(self):
+        """Has a mark ordered that is older than any later revoke's; its number."""
+        number = (self.stage.brain.mark - 1) % MARKS
+        self.stage.order(("mark", number, True))
+        self.until(lambda: self.ordered(f"mark,{number},"))
+        return number
+
+    def ack(self, proxy, mark, at=None):
+        """Heard now; applied now, or at `at`, and the latency says when: it counts from when the relay took the mark."""
+        applied = self.stage.loop.now() if at is None else int(at * SECOND)
+        taken_at = next((at for at, one in self.relay.orders if one.startswith(f"mark,{mark},")), applied)
+        latency = (applied - taken_at) / 1_000
         self.relay.say(("ack", f"node={proxy}&nonce={mark}&latency={latency}"))
 
     def now(self):
@@ -104,9 +114,10 @@
 
 @pytest.mark.parametrize("acks", ["twice by one", "of an older mark", "of no mark", "of a proxy that is not joined"])
 def test_no_other_ack_stands_for_the_one_that_is_missing(scene, acks):
+    older = scene.older_mark()
     mark = scene.revoke()
     scene.ack(0, mark)
-    proxy, number = {"twice by one": (0, mark), "of an older mark": (1, mark - 1), "of no mark": (1, (mark + 300) % 65_536),
+    proxy, number = {"twice by one": (0, mark), "of an older mark": (1, older), "of no mark": (1, (mark + 300) % MARKS),
                      "of a proxy that is not joined": (7, mark)}[acks]
     scene.ack(proxy, number)
     scene.run(LEASE + SETTLE + 0.6)
@@ -116,6 +127,20 @@
     assert scene.grant()[0] >= last + SETTLE - 0.01
 
 
+@pytest.mark.parametrize("late", ["the same again", "an older one"])
+def test_an_ack_that_comes_late_or_twice_neither_delays_nor_hastens_the_grant(scene, late):
+    older = scene.older_mark()
+    mark = scene.revoke()
+    scene.run(0.1)
+    scene.ack(0, mark)
+    both = scene.now()
+    scene.run(0.4)
+    scene.ack(0, mark if late == "the same again" else older)
+    scene.run(0.1)
+    scene.ack(1, mark, at=both)              # heard late
+    assert both + SETTLE - 0.01 <= scene.grant()[0] <= both + SETTLE + 0.2
+
+
 def test_a_proxy_that_leaves_is_waited_for_no_longer_than_its_lease(scene):
     mark = scene.revoke()
     scene.ack(0, mark)
@@ -154,7 +179,7 @@
     if not anyone_acked:
         scene.run(SETTLE + 0.5)
         assert not scene.grants()
-        scene.ack(2, scene.mark_since(joined))
+        scene.ack(2, scene.mark_since(joined + 0.001, within=0.5))
         last = scene.now()
     assert last + SETTLE - 0.01 <= scene.grant()[0] <= last + SETTLE + 0.5
 
