--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -4,8 +4,8 @@
 import pytest
 
 from cedarshift.brain import MARKS
-from platform_parts import instance, listing
-from scripted_peers import CHUNKED, SECOND, AnsweringRelay, Stage, chunk, standing
+from platform_parts import SETTINGS, instance, listing
+from scripted_peers import CHUNKED, SECOND, AnsweringRelay, Stage, chunk, frame, standing
 
 LEASE, SETTLE = 0.8, 1.0  # s, of the settings
 BEAT = 0.025              # s; the module looks so often
@@ -15,11 +15,12 @@
 class Scene:
     """Three endpoints, two proxies, four slices; `a` owns slice 0 alone. Time moves by beats, with signs of life."""
 
-    def __init__(self):
-        known = listing(7, instance("a"), instance("b"), instance("c"), reset=True)
-        self.stage = Stage(known=known)
+    def __init__(self, settings=SETTINGS):
+        zones = settings["zones"]
+        known = listing(7, *(instance(name, zone=zones[at % len(zones)]) for at, name in enumerate("abc")), reset=True)
+        self.stage = Stage(known=known, settings=settings)
         self.relay = AnsweringRelay(self.stage)
-        self.relay.stands = standing(slices=OWNERS)
+        self.relay.stands = standing(slices=OWNERS, zone=zones[0])
         self.watch = self.stage.discovery.accept()
         self.watch.request()
         self.watch.say(CHUNKED + chunk("\n"))
@@ -54,10 +55,10 @@
         """(time in s, order) of the first order carried out that begins so, from the one numbered `since` on; None where there is none."""
         return next(((at / SECOND, one) for at, one in self.relay.orders[since:] if one.startswith(start)), None)
 
-    def revoke(self):
+    def revoke(self, writes="put"):
         """`a` drains, and the revoke of slice 0 goes out; the number of its mark."""
         self.list(8, instance("a", "draining"))
-        at, _ = self.until(lambda: self.ordered("admit,0,put,0,"))
+        at, _ = self.until(lambda: self.ordered(f"admit,0,{writes},0,"))
         return self.mark_since(at)
 
     def mark_since(self, at, within=6.0):
@@ -277,3 +278,39 @@
     scene.run(3)
     assert set(scene.grants()) == {f"share,0,{endpoint},1"}
     assert scene.stage.brain.slices[0].owner == scene.stage.pilot.slices[0] == endpoint
+
+
+def renamed(classes, zones):
+    """The same settings under other names."""
+    return {**SETTINGS, "zones": zones, "classes": [{**one, "name": name} for one, name in zip(SETTINGS["classes"], classes)]}
+
+
+def a_day(settings):
+    """Reports of a hot owner and slow classes, then a drain and its hand-over; (time, order) of all that was ordered, by the first settings' names."""
+    scene = Scene(settings)
+    names, zones = [one["name"] for one in settings["classes"]], settings["zones"]
+    collector = scene.stage.call().say(frame(t="agent", locality=zones[0]))
+    for period in range(6):
+        for at, endpoint in enumerate("abc"):
+            for zone in zones:
+                collector.say(frame(t="outcomes", locality=zone, endpoint=endpoint, total=60, errors=(period * 9 * at) % 60, rtt=900.0 + 700 * at,
+                                    interval=2000.0))
+        for number in range(4):
+            for at, name in enumerate(names):
+                collector.say(frame(t="hot", shard=number, route=name, total=20 + 9 * number, errors=at * number, interval=2000.0))
+        scene.run(2)
+    mark = scene.revoke(names[1])
+    for proxy in (0, 1):
+        scene.ack(proxy, mark)
+    scene.grant()
+    assert scene.stage.pilot.collectors.counts["spoilt"] == 0 and scene.stage.pilot.collectors.counts["reports"] == 6 * (6 + 8)
+    back = dict(zip(names, (one["name"] for one in SETTINGS["classes"])))
+    return [(at, ",".join("+".join(back.get(name, name) for name in part.split("+")) for part in order.split(","))) for at, order in scene.relay.orders]
+
+
+def test_the_names_of_classes_and_zones_decide_nothing():
+    first = a_day(SETTINGS)
+    assert any(order.startswith("admit,*,") for _, order in first) and any(",put,0," in order for _, order in first)
+    for classes, zones in ((["zz-read", "aa-write"], ["south", "north"]), (["put", "get"], ["zb", "za"])):
+        other = a_day(renamed(classes, zones))
+        assert [order for _, order in other] == [order for _, order in first]
