--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -292,9 +292,9 @@
     collector = scene.stage.call().say(frame(t="agent", locality=zones[0]))
     for period in range(6):
         for at, endpoint in enumerate("abc"):
-            for zone in zones:
-                collector.say(frame(t="outcomes", locality=zone, endpoint=endpoint, total=60, errors=(period * 9 * at) % 60, rtt=900.0 + 700 * at,
-                                    interval=2000.0))
+            for far, zone in enumerate(zones):   # the way from the second zone loses half of all
+                collector.say(frame(t="outcomes", locality=zone, endpoint=endpoint, total=60, errors=(period * 9 * at) % 30 + 30 * far,
+                                    rtt=900.0 + 700 * at + 900 * far, interval=2000.0))
         for number in range(4):
             for at, name in enumerate(names):
                 collector.say(frame(t="hot", shard=number, route=name, total=20 + 9 * number, errors=at * number, interval=2000.0))
