--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -12,6 +12,7 @@
 from itertools import takewhile
 from typing import Optional
 
+from cedarshift.diagnostics import DecisionCounts, KeptReason
 from cedarshift.interface import Entry, Terms
 
 # Constants: unit, then the reason for the size.
@@ -110,6 +111,7 @@
         self.sick_until, self.strikes, self.hot_checks = 0, 0, 0
         self.changed_at, self.gained_at = 0, 0  # when it last gained or lost a slice, and when it gained one
         self.ours: Optional[bool] = None     # whether the lot gives this pilot its cold budget
+        self.kept: Optional[KeptReason] = None   # why the newest check took no slice from it
 
     def forget(self) -> None:
         Heard.__init__(self)
@@ -223,6 +225,7 @@
         self.news, self.weighed_at = True, 0  # the list, the charge or the orders changed since the weigh-up
         self.held: dict[str, list[Slice]] = {}   # the slices that each endpoint owns
         self.mean_rate = 1e-3                # ops of a slice in 0.1 ms, until sums come
+        self.counts = DecisionCounts()
         self.out, self.fresh = deque(), False   # decisions to hand out; a beat or a list came since the last
 
     # ---- inputs: only what is known changes here
@@ -642,6 +645,7 @@
     def _check(self, now: int) -> list[tuple[int, int, str, Optional[str]]]:
         if now < self.check_at:
             return []
+        self.counts.check(now)
         self.check_at = now + self.check_every
         self._set_level([self.met[e.name] for e in self.live if now >= e.sick_until])
         load = {e.name: load for e in self.live if (load := self._load(e, now)) is not None}
@@ -660,9 +664,10 @@
             full = self.burden.get(e.name, 0.0) > self.unit * e.part * (1 + MARGIN)
             hot = self._strained(self.met[e.name]) and (full or load.get(e.name, mean) > mean * (1 + MARGIN))
             e.hot_checks = e.hot_checks + 1 if hot else 0  # an endpoint with no fresh sums is not hot
+            e.kept = None if not hot else KeptReason.FIRST_CHECK
             if e.hot_checks < CHECKS_RUNNING:
                 continue
-            moved = 0
+            moved, e.kept = 0, KeptReason.RECENTLY_MOVED
             own = [s for s in self.held.get(e.name, ()) if s.state == OWNED
                    and now - s.moved_at >= HOLD and now - s.given_at >= self.lease]
             own.sort(key=lambda s: (-self.rate[s.number], s.number))
@@ -670,12 +675,14 @@
                 # Its part is its ops at the fleet's usual cost: a jammed source's own tell of its queue.
                 part = mean * self.rate[s.number] / even
                 if len(due) >= most or moved >= MOVES_A_SOURCE:
+                    e.kept = None if moved else KeptReason.MOVE_LIMIT
                     break
                 coolest = coolest or min(idle, key=lambda t: (load.get(t.name, mean), t.name), default=None)
                 cool = (coolest or e).name
                 if cool == e.name or load.get(cool, mean) + part >= load.get(e.name, mean) - part:
                     # Where most are jammed none is far above the mean: who is past the fair share gives.
                     cool = self._with_room(s, now) if full else None
+                e.kept = None if cool or moved else KeptReason.NO_TARGET
                 if cool:
                     due.append((3, s.number, "move", cool))
                     load[cool] = load.get(cool, mean) + part   # so that not all go to one
@@ -716,6 +723,7 @@
         self.queue = max(0, self.channel_free - now) + heads + joined * self.leaving * self.per_line + gap
         due = self._due(now)
         if self._crowded(due, waiting, joined, now):
+            self.counts.waits_for_acks += 1
             return
         if now - self.sent_at >= 2 * self.even:   # so that a drain seldom meets a turn just gone
             due += self._check(now)
@@ -729,12 +737,14 @@
             return
         self.mark = (self.mark + 1) % MARKS
         lines: list[tuple] = []
-        for urgency, n, step, name in due:
+        for at, (urgency, n, step, name) in enumerate(due):
             room = self.room * ROOM[urgency if waiting else 0]
             if joined and waiting + joined * (self.head + len(lines) + 2) > room:
+                self.counts.moves_without_room += sum(one[2] == "move" for one in due[at:])
                 break
             lines += self._step(step, self.slices.get(n), name, now)
         if lines or unmarked:
+            self.counts.turn(bool(lines))
             self.news = True
             lines.append(("mark", self.mark, True))
             self.out.extend(lines)
--- a/cedarshift/platform/service.py
+++ b/cedarshift/platform/service.py
@@ -209,7 +209,7 @@
                  "part": round(brain.endpoints[name].part, 2), "slices": len(brain.held.get(name, ())),
                  "fair_share": round(brain.burden.get(name, 0.0) / max(1e-9, brain.unit * brain.endpoints[name].part), 2),
                  "warmth": round(brain._warmth(brain.endpoints[name], now), 2), "hot": brain.endpoints[name].hot_checks,
-                 "sick_ms": max(0, brain.endpoints[name].sick_until - now) // 10}
+                 "kept": brain.endpoints[name].kept, "sick_ms": max(0, brain.endpoints[name].sick_until - now) // 10}
                 for name, (tries, aborted, took) in met[:SLOWEST_SHOWN] if name in brain.endpoints]
 
     # ---- what is decided
--- a/cedarshift/platform/start.py
+++ b/cedarshift/platform/start.py
@@ -116,7 +116,7 @@
 
 
 def figures(pilot: PlatformPilot) -> dict[str, object]:
-    return {"proxies": len(pilot.proxies), "slices": len(pilot.slices), **pilot.counts, **pilot.calls.counts,
+    return {"proxies": len(pilot.proxies), "slices": len(pilot.slices), **pilot.counts, **pilot.brain.counts.fields(), **pilot.calls.counts,
             **pilot.news.counts, **pilot.discovery.counts, **pilot.collectors.counts, "slowest_ms": pilot.loop.slowest // 1000}
 
 
