Readiness ends with EAGAIN, a refused registration ends a dial, the log never waits

Readiness was inferred from a transfer's length (Stream.read, Stream._push, Signals._ready); an OSError of epoll_ctl left dial and Listener.accept uncaught and ended the task that called (Calls, serve_http, link.serve, gossip); the log wrote to a blocking descriptor (platform/log.py, cli/log.py, the refusal of a start).

Change: streams and the wake pipe ask until there is no more, EINTR asks again; register leaves nothing behind when it fails; dial raises StreamBroken and closes; Listener.accept skips connections that have gone, as accept(2) lists them, and waits where the machine has no room, for all who accept; datagram reads pass over errors of earlier datagrams; LogOutput drops lines in place of waiting. One test patched SocketPipe.send to take ten bytes a call for ever as 'no more room': such a pipe has room. It now says EAGAIN after ten bytes, as the kernel does.

--- a/cedarshift/loop/epoll.py
+++ b/cedarshift/loop/epoll.py
@@ -15,6 +15,13 @@
 
 from cedarshift.loop.core import Coroutine, Loop, Waker
 
+# Errors of accept() that concern the one connection alone (accept(2)): it has gone again, and others may wait behind it.
+CONNECTION_GONE = frozenset({errno.ECONNABORTED, errno.EPROTO, errno.ENETDOWN, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.ENONET,
+                             errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.ECONNRESET,
+                             errno.EPERM})
+CONNECTIONS_GONE_AT_ONCE = 64   # skipped by one accept; a fault that stays must not hold the loop
+ERRORS_AT_ONCE = 64       # errors of earlier datagrams taken off a socket by one read
+SIGNALS_AT_ONCE = 512     # bytes read from the wake pipe at a time
 EVENTS_AT_ONCE = 256      # events taken from the kernel a pass
 BACKLOG = 1024            # connections that the kernel may hold for an accept
 EDGES = select.EPOLLIN | select.EPOLLOUT | select.EPOLLRDHUP | select.EPOLLET
@@ -45,18 +52,22 @@
     def poll(self, wait: Optional[int]) -> None:
         # Rounded up to a whole millisecond: epoll counts in those, and rounding down would spin until a timer is due.
         timeout = -1 if wait is None else -(-wait // 1000) / 1000
-        for number, events in self.epoll.poll(timeout, EVENTS_AT_ONCE):
+        try:
+            ready = self.epoll.poll(timeout, EVENTS_AT_ONCE)
+        except InterruptedError:               # the loop looks at its timers and waits again
+            return
+        for number, events in ready:
             call = self.calls.get(number)
             if call is not None:
                 call(bool(events & READS), bool(events & WRITES), bool(events & HANGS))
 
     def register(self, number: int, call: Callable[[bool, bool, bool], None]) -> None:
-        fresh = number not in self.calls
-        self.calls[number] = call
-        if fresh:
-            self.epoll.register(number, EDGES)
-        else:
+        """Raises OSError where the kernel has no room for one more (ENOSPC, ENOMEM); then nothing is registered."""
+        if number in self.calls:
             self.epoll.modify(number, EDGES)   # tells anew of what is ready by now
+        else:
+            self.epoll.register(number, EDGES)
+        self.calls[number] = call
 
     def forget(self, number: int) -> None:
         if self.calls.pop(number, None) is not None:
@@ -81,12 +92,11 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         result = sock.connect_ex(address)
-        if result not in (0, errno.EINPROGRESS):
+        if result not in (0, errno.EINPROGRESS, errno.EINTR):   # interrupted, it goes on by itself: connect(2)
             sock.close()
             raise OSError(result, os.strerror(result))
         return SocketAttempt(self, sock, result == 0)
 
-
     def datagrams(self, address: tuple[str, int]) -> SocketPort:
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
@@ -107,13 +117,16 @@
         self.address = sock.getsockname()
 
     def recv(self) -> Optional[tuple[bytes, tuple[str, int]]]:
-        while True:
+        for _ in range(ERRORS_AT_ONCE):
             try:
                 return self.sock.recvfrom(65_536)
-            except (BlockingIOError, InterruptedError):
+            except BlockingIOError:
                 return None
-            except ConnectionRefusedError:     # an earlier datagram found nobody; the next read may bring one
+            except InterruptedError:
+                continue
+            except OSError:                    # of an earlier datagram that found nobody: the next read may bring one
                 continue
+        return None
 
     def send(self, data: bytes, address: tuple[str, int]) -> bool:
         try:
@@ -136,16 +149,26 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def recv(self, most: int) -> Optional[bytes]:
-        try:
-            return self.sock.recv(most)
-        except (BlockingIOError, InterruptedError):
-            return None
+        while True:
+            try:
+                return self.sock.recv(most)
+            except BlockingIOError:
+                return None
+            except InterruptedError:           # no edge would tell again of what is there
+                continue
 
     def send(self, view: Any) -> int:
-        try:
-            return self.sock.send(view)
-        except (BlockingIOError, InterruptedError):
-            return 0
+        while True:
+            try:
+                return self.sock.send(view)
+            except BlockingIOError:
+                return 0
+            except InterruptedError:
+                continue
+
+    def finish_writing(self) -> None:
+        """Tells the peer that no more will come; what it has sent can still be read."""
+        self.sock.shutdown(socket.SHUT_WR)
 
     def watch(self, call: Callable[[bool, bool, bool], None]) -> None:
         self.network.register(self.sock.fileno(), call)
@@ -162,16 +185,25 @@
         self.address = sock.getsockname()
 
     def accept(self) -> Optional[tuple[SocketPipe, str]]:
-        while True:
+        """The next connection, None where none waits. Raises OSError where the machine has no room for one (EMFILE, ENFILE,
+        ENOBUFS, ENOMEM): it stays in the kernel's queue, and no edge tells of it again."""
+        for _ in range(CONNECTIONS_GONE_AT_ONCE):
             try:
                 sock, peer = self.sock.accept()
-                break
-            except ConnectionAbortedError:     # it has gone again; others may wait behind it, and no edge tells of them
-                continue
-            except (BlockingIOError, InterruptedError):
+            except BlockingIOError:
                 return None
-        sock.setblocking(False)
-        return SocketPipe(self.network, sock), f"{peer[0]}:{peer[1]}"
+            except InterruptedError:
+                continue
+            except OSError as error:
+                if error.errno not in CONNECTION_GONE:
+                    raise
+                continue                       # others may wait behind it, and no edge tells of them
+            sock.setblocking(False)
+            try:
+                return SocketPipe(self.network, sock), f"{peer[0]}:{peer[1]}"
+            except OSError:                    # reset before it was taken
+                sock.close()
+        raise OSError(errno.EAGAIN, "one connection after the other has gone before it was taken")
 
     def watch(self, call: Callable[[bool, bool, bool], None]) -> None:
         self.network.register(self.sock.fileno(), call)
@@ -224,11 +256,14 @@
         network.register(self.inner, self._ready)
 
     def _ready(self, readable: bool, writable: bool, hung: bool) -> None:
-        try:
-            self.came.extend(os.read(self.inner, 512))
-        except (BlockingIOError, InterruptedError):
-            return
-        if self.waiting is not None:
+        while True:
+            try:
+                self.came.extend(os.read(self.inner, SIGNALS_AT_ONCE))
+            except BlockingIOError:            # a short read is no end: no edge tells of what is left
+                break
+            except InterruptedError:
+                continue
+        if self.waiting is not None and self.came:
             self.waiting.wake()
 
     def next(self) -> Coroutine:
--- a/cedarshift/loop/stream.py
+++ b/cedarshift/loop/stream.py
@@ -2,8 +2,8 @@
 
 A pipe is non-blocking: `recv(most) -> bytes | None` (None: nothing now; b"": the peer has finished), `send(view) ->
 int` (0: no room now), `close()`, `watch(call)` where `call(readable, writable, hung)` tells of edges, `hung` that the
-peer has finished. Readiness is told by edges, once a change; the stream remembers it and asks the pipe until it gives
-less than was asked for. Once it has hung up the stream asks until the end itself: no edge would tell of that again.
+peer has finished. Readiness is told by edges, once a change; the stream remembers it and asks the pipe until there is no more
+(None, or 0). A transfer may be short at any time, so its length tells nothing of what is left.
 """
 from __future__ import annotations
 
@@ -16,6 +16,7 @@
 READS_A_STEP = 4          # reads without a pause; a peer that always has more must not hold the loop
 WRITE_MOST = 1 << 20      # bytes that may wait to be written before the stream counts as stalled
 DIAL_TIMEOUT = 1_000_000  # us
+ACCEPT_AGAIN = 50_000     # us between tries while the machine has no room for a connection
 
 
 class StreamBroken(Exception):
@@ -46,7 +47,6 @@
         self.chunks: deque[memoryview] = deque()
         self.readable = True                 # until the pipe says otherwise
         self.writable = True
-        self.hung = False                    # the peer has finished
         self.ended: Optional[StreamBroken] = None
         self.reader: Optional[Waker] = None
         self.drainer: Optional[Waker] = None
@@ -73,7 +73,6 @@
                     self._break(broken)
                     raise broken from None
                 if data is not None:
-                    self.readable = self.hung or len(data) == READ_AT_ONCE or not data
                     return data
                 self.readable = False
             self.reads = 0
@@ -103,13 +102,18 @@
                 raise full
 
     def _push(self, view: memoryview) -> int:
-        try:
-            sent = self.pipe.send(view)
-        except OSError as error:
-            self._break(StreamBroken(str(error)))
-            return 0
-        if sent < len(view):
-            self.writable = False
+        """Hands over until all has gone or the pipe has no room; the number of bytes that went."""
+        sent = 0
+        while sent < len(view):
+            try:
+                taken = self.pipe.send(view[sent:])
+            except OSError as error:
+                self._break(StreamBroken(str(error)))
+                return 0
+            if not taken:
+                self.writable = False
+                break
+            sent += taken
         return sent
 
     def drain(self, below: int = 0, until: Optional[int] = None) -> Coroutine:
@@ -152,7 +156,6 @@
     def _ready(self, readable: bool, writable: bool, hung: bool) -> None:
         if self.closed:
             return
-        self.hung = self.hung or hung
         if readable:
             self.readable = True
             if self.reader is not None:
@@ -176,7 +179,8 @@
 
 
 class Listener:
-    """Accepts streams; beyond `most` open ones a newcomer is closed at once, so that the others keep their share."""
+    """Accepts streams; beyond `most` open ones a newcomer is closed at once, so that the others keep their share. Where the
+    machine has no room for one more (descriptors, memory) it is waited for: no failed accept ends who accepts."""
 
     def __init__(self, loop: Loop, door: Any, most: int, write_most: int) -> None:
         self.loop = loop
@@ -185,6 +189,7 @@
         self.write_most = write_most
         self.open: set[Stream] = set()
         self.turned_away = 0
+        self.failures = 0                    # accepts that failed
         self.waiting: Optional[Waker] = None
         self.closed = False
         door.watch(self._ready)
@@ -198,23 +203,41 @@
         while True:
             if self.closed:
                 raise StreamBroken("the listener was closed")
-            got = self.door.accept()
-            if got is None:
-                self.waiting = self.loop.waker()
-                try:
-                    yield
-                finally:
-                    self.waiting = None
+            try:
+                stream = self.take()
+            except OSError as error:
+                self._failed(error)
+                yield from self.loop.sleep(ACCEPT_AGAIN)
                 continue
+            if stream is not None:
+                return stream
+            self.waiting = self.loop.waker()
+            try:
+                yield
+            finally:
+                self.waiting = None
+
+    def take(self) -> Optional[Stream]:
+        """The next stream that waits, None where there is none. Raises OSError where the machine has no room for one."""
+        while (got := self.door.accept()) is not None:
             pipe, peer = got
             self.open = {stream for stream in self.open if not stream.closed}
             if len(self.open) >= self.most:
                 self.turned_away += 1
                 pipe.close()
                 continue
-            stream = Stream(self.loop, pipe, peer, self.write_most)
+            try:
+                stream = Stream(self.loop, pipe, peer, self.write_most)
+            except OSError:
+                pipe.close()
+                raise
             self.open.add(stream)
             return stream
+        return None
+
+    def _failed(self, error: OSError) -> None:
+        self.failures += 1
+        self.loop.report("accept_failed", reason=str(error), failures=self.failures)
 
     def _ready(self, readable: bool, writable: bool, hung: bool) -> None:
         if self.waiting is not None:
@@ -241,21 +264,18 @@
     except OSError as error:
         raise StreamBroken(f"{peer}: {error}") from None
     until = loop.now() + timeout
-    while True:
-        try:
-            pipe = attempt.poll()
-        except OSError as error:
-            attempt.close()
-            raise StreamBroken(f"{peer}: {error}") from None
-        if pipe is not None:
-            return Stream(loop, pipe, peer, write_most)
-        waker = loop.waker()
-        attempt.watch(lambda readable, writable, hung: waker.wake())
-        try:
+    try:
+        while (pipe := attempt.poll()) is None:
+            waker = loop.waker()
+            attempt.watch(lambda readable, writable, hung: waker.wake())
             yield from loop.park(until)
-        except TimedOut:
-            attempt.close()
-            raise StreamBroken(f"{peer}: no answer within {timeout // 1000} ms") from None
-        except BaseException:
-            attempt.close()
-            raise
+        return Stream(loop, pipe, peer, write_most)
+    except OSError as error:
+        attempt.close()
+        raise StreamBroken(f"{peer}: {error}") from None
+    except TimedOut:
+        attempt.close()
+        raise StreamBroken(f"{peer}: no answer within {timeout // 1000} ms") from None
+    except BaseException:
+        attempt.close()
+        raise
--- a/cedarshift/platform/collectors.py
+++ b/cedarshift/platform/collectors.py
@@ -20,7 +20,6 @@
 JOINED_PART = 2           # of the descriptors, one in so many is the most for joined connections, whatever the zones
 FIRST_MOST = 4_096        # bytes of a message before joining; a joining has under a hundred
 ACCEPTS_A_STEP = 16       # accepts before those accepted get to speak
-ACCEPT_AGAIN = 50_000     # us; unjoined connections end all the time
 SECOND = 1_000_000        # us
 MESSAGES_LEAST = 5_000    # of one connection in a second, at least; a period's reports may come all at once
 REPORTS_IN_A_SECOND = 4   # times the reports of a period that one connection may bring in a second
@@ -97,14 +96,10 @@
 
     def _accept(self) -> Coroutine:
         while True:
-            try:
-                for _ in range(ACCEPTS_A_STEP):
-                    stream = yield from self.listener.accept()
-                    self._admit(stream)
-                yield from self.loop.breathe()
-            except OSError as error:         # out of descriptors: those who wait stay in the kernel's queue
-                self.report("accept_failed", reason=str(error))
-                yield from self.loop.sleep(ACCEPT_AGAIN)
+            for _ in range(ACCEPTS_A_STEP):
+                stream = yield from self.listener.accept()
+                self._admit(stream)
+            yield from self.loop.breathe()
 
     def _admit(self, stream: Stream) -> None:
         caller = Caller(stream, self.loop.now(), self.limits.messages)
--- a/cedarshift/platform/log.py
+++ b/cedarshift/platform/log.py
@@ -2,11 +2,11 @@
 memory that a pilot may have here, and 35 ms of a start."""
 from __future__ import annotations
 
-import sys
-from typing import Any, Callable
+from typing import Any, Callable, Optional
 
 import orjson
 
+from cedarshift.log_output import LogOutput
 from cedarshift.loop.core import Clock
 
 SPAN = 1_000_000          # us over which lines of one event are counted
@@ -14,8 +14,10 @@
 EVENTS_MOST = 64          # kinds of events with counts of their own
 
 
-def make_report(clock: Clock, name: str, write: Callable[[str], Any] = sys.stderr.write) -> Callable[..., None]:
-    """`report(event, **fields)`. It never raises: whoever reads the log may be gone, and the work goes on without."""
+def make_report(clock: Clock, name: str, write: Optional[Callable[[str], Any]] = None) -> Callable[..., None]:
+    """`report(event, **fields)`, to standard error unless `write` is given. It never raises and never waits: whoever reads the
+    log may be gone or stall, and the work goes on without."""
+    write = write or LogOutput().write
     spans: dict[str, tuple[int, int]] = {}   # event -> when its span began, lines since
 
     def report(event: str, **fields: Any) -> None:
--- a/cedarshift/platform/start.py
+++ b/cedarshift/platform/start.py
@@ -5,11 +5,11 @@
 import gc
 import random
 import signal
-import sys
 from typing import Callable, Mapping
 
 from cedarshift.codec.platform.errors import Refused, Unfinished
 from cedarshift.codec.platform.place import Place, Variables, place, variables
+from cedarshift.log_output import LogOutput
 from cedarshift.loop import Loop, listen
 from cedarshift.loop.core import Coroutine
 from cedarshift.loop.epoll import Signals, fresh_bytes, real_loop, wall_clock
@@ -50,7 +50,7 @@
 
 
 def refuse(error: Exception) -> int:
-    print(f"cedarshift platform: {error}", file=sys.stderr)
+    LogOutput().write(f"cedarshift platform: {error}\n")
     return REFUSED
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -66,8 +66,13 @@
 
 
 def test_an_answer_that_comes_before_its_request_is_written_whole_keeps_no_connection(asking, monkeypatch):
-    send = SocketPipe.send
-    monkeypatch.setattr(SocketPipe, "send", lambda pipe, view: send(pipe, view[:10]))   # the kernel has room for no more
+    send, room = SocketPipe.send, [10]       # what the kernel has room for; then it says so (EAGAIN)
+
+    def send_what_fits(pipe, view):
+        taken = send(pipe, view[:room[0]]) if room[0] else 0
+        room[0] -= taken
+        return taken
+    monkeypatch.setattr(SocketPipe, "send", send_what_fits)
     task = asking.ask()
     peer = asking.server.accept()
     peer.until(b"POST / HTT")
