Moves that find no room wait for the next turn; room beside an unacked turn; marks go last

Cause: Pilot._check handed its moves to one turn, reset hot_checks and looked again 2 s later; Pilot._turn dropped what did not fit. ROOM[3] is half of the channel, counts unacked heads, and at 148 proxies two turns' heads are 0.56 of it, so during a release no move ever fitted. Class: work that is decided, dropped for want of room and forgotten.

Change: planned moves stay until they go, no longer hold, or the next check plans anew; hot_checks ends when a move goes; a share of the channel is at least all but one further turn; a barrier alone only once newcomers are all that is waited for; lines counted as the steps take them. The test of marks alone now has the others acked first, as a mark would go later otherwise; a second one holds the new order.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -46,6 +46,7 @@
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
 ROOM = (0.95, 0.9, 0.6, 0.5)   # shares of the channel's waiting lines used, by urgency: a drain finds room
+RESERVED_LINES = 3        # lines a proxy, beside the head, that a move leaves room for: a slice's revoke, clear and grant
 GATHER = 0.15             # share of the channel that may wait when a turn goes without all that is due
 ACKS_PAUSE = 5_000        # 0.1 ms; with no ack for so long nothing tells that the channel drains
 TURN_HEADS = 1.25         # times what a turn's heads hold the channel, between turns: they fill four fifths
@@ -216,6 +217,7 @@
         self.beat = 0                        # nonce of the alarm that counts
         self.ask_at, self.ask_wait = 0, ASK_AGAIN
         self.check_at = 0                    # when the mover and the level look next
+        self.planned: dict[int, str] = {}    # slice -> target: moves of the newest check that have not gone out yet
         self.level, self.level_sent = 1.0, 1.0
         self.laid: dict[tuple[int, str], bool] = {}
         self.ways, self.ways_to = {}, {}     # what ways lose and delay; the same by the endpoints' zone
@@ -264,6 +266,7 @@
     def on_given(self, now: int, slice_id: int, given: bool) -> None:
         self.news = True
         self.slices.pop(slice_id, None)
+        self.planned.pop(slice_id, None)     # if it comes back, with an owner that nothing was decided for
         self.ordered = None
         if given:
             s = self.slices[slice_id] = Slice(slice_id, now)
@@ -643,8 +646,16 @@
     # ---- the cautious mover and the level
 
     def _check(self, now: int) -> list[tuple[int, int, str, Optional[str]]]:
-        if now < self.check_at:
-            return []
+        """The moves of the newest check that still hold. One that finds no room waits for the next turn that has some: to drop
+        it would be to drop the checks that led to it, and under a release no turn finds the channel without unacked lines."""
+        if now >= self.check_at:
+            self._plan_moves(now)
+        return [(3, number, "move", target) for number, target in self.planned.items()
+                if (s := self.slices.get(number)) and s.state == OWNED and not self._unfit(target, now)
+                and not self._unfit(s.owner, now)]
+
+    def _plan_moves(self, now: int) -> None:
+        """Plans anew the moves that may go until the next check."""
         self.counts.check(now)
         self.check_at = now + self.check_every
         self._set_level([self.met[e.name] for e in self.live if now >= e.sick_until])
@@ -654,7 +665,7 @@
         empty = sum(e.name not in self.burden for e in self.live) // self.pilots   # its share of those
         most = max(MOVES_A_TURN, len(self.live) // MOVES_PART, empty)
         most = min(most, self.rights.get("", math.inf) - sum(bool(s.target) for s in self.slices.values()))
-        due: list[tuple[int, int, str, Optional[str]]] = []
+        self.planned = {}
         moving = {name for s in self.slices.values() if s.state != OWNED for name in (s.target, s.owner)}
         idle = [e for e in self.live if e.name not in moving and now - e.changed_at >= LATE + self.recent
                 and not self._unfit(e.name, now) and self._warmth(e, now) >= 1.0
@@ -674,7 +685,7 @@
             for s in own:
                 # Its part is its ops at the fleet's usual cost: a jammed source's own tell of its queue.
                 part = mean * self.rate[s.number] / even
-                if len(due) >= most or moved >= MOVES_A_SOURCE:
+                if len(self.planned) >= most or moved >= MOVES_A_SOURCE:
                     e.kept = None if moved else KeptReason.MOVE_LIMIT
                     break
                 coolest = coolest or min(idle, key=lambda t: (load.get(t.name, mean), t.name), default=None)
@@ -684,12 +695,11 @@
                     cool = self._with_room(s, now) if full else None
                 e.kept = None if cool or moved else KeptReason.NO_TARGET
                 if cool:
-                    due.append((3, s.number, "move", cool))
+                    self.planned[s.number] = cool
                     load[cool] = load.get(cool, mean) + part   # so that not all go to one
                     coolest = None
                     self.burden[cool] = self.burden.get(cool, 0.0) + self.rate[s.number]
-                    moved, e.hot_checks = moved + 1, 0
-        return due
+                    moved += 1
 
     def _load(self, e: Endpoint, now: int) -> Optional[float]:
         """Mean time of an op, by sums begun after the last move; an aborted one counts as an op timeout.
@@ -730,7 +740,7 @@
         revoked = {(s.mark, s.since, s.given_at): s for s in self._sorted_slices()
                    if s.state == REVOKING and s.mark is not None}.values()
         unmarked = waiting + joined * self.head <= ROOM[1] * self.room and any(
-            self._stop(self.proxies[n], s) is None for n in self.newcomers for s in revoked)
+            self._waits_for_newcomers_alone(s) for s in revoked)
         if self.can_level and self.slices and abs(self.level - self.level_sent) >= LEVEL_STEP / 2:
             due.append((3, -1, "level", None))
         if not (due or unmarked):
@@ -738,7 +748,7 @@
         self.mark = (self.mark + 1) % MARKS
         lines: list[tuple] = []
         for at, (urgency, n, step, name) in enumerate(due):
-            room = self.room * ROOM[urgency if waiting else 0]
+            room = self._room_for(urgency if waiting else 0, joined)
             if joined and waiting + joined * (self.head + len(lines) + 2) > room:
                 self.counts.moves_without_room += sum(one[2] == "move" for one in due[at:])
                 break
@@ -756,17 +766,39 @@
         else:
             self.mark = (self.mark - 1) % MARKS   # nothing fitted: an unsent mark would use up the ring
 
+    def _waits_for_newcomers_alone(self, s: Slice) -> bool:
+        """Whether proxies that no mark has reached yet are all that a revoked slice waits for. While others have their mark
+        and have not acked it, a mark for newcomers would end no wait, and its heads would hold up whatever could."""
+        if not any(self._stop(self.proxies[number], s) is None for number in self.newcomers):
+            return False
+        return all(number in self.newcomers or self._stop(proxy, s) is not None for number, proxy in self.proxies.items())
+
+    def _room_for(self, urgency: int, joined: int) -> float:
+        """Lines that may wait in the channel once a turn of an urgency has gone out. Where the heads of a single turn are as
+        much as a share, all but the room for one further turn is open: else nothing went beside a turn that is unacked."""
+        further = joined * (self.head + RESERVED_LINES) if urgency else 0
+        return max(self.room * ROOM[urgency], self.room * ROOM[0] - further)
+
     def _crowded(self, due: list[tuple], waiting: float, joined: int, now: int) -> bool:
         """Whether to wait for room while acks come in. Heads are most of a turn: in a channel that is slower
         than stated, turns of a line each would fill it with heads, and drains would wait for one another."""
-        lines = 2 * sum(urgency <= 1 for urgency, _, _, _ in due) + 1
+        lines = 1 + sum(self._lines_of(step, self.slices[number]) for urgency, number, step, _ in due if urgency <= 1)
         return (waiting > GATHER * self.room and now - self.acked_at < ACKS_PAUSE
                 and waiting + joined * (self.head + lines) > ROOM[1] * self.room)
 
+    def _lines_of(self, step: str, s: Slice) -> int:
+        """Lines a proxy that a step of a slice's hand-over takes, as `_step` gives them at most."""
+        if step != "grant":
+            return 1
+        return 1 + s.closed + (s.line and not self.single)
+
     def _step(self, step: str, s: Optional[Slice], name: Optional[str], now: int) -> list[tuple]:
         if step == "level":
             self.level_sent = self.level
             return [("level", ALL_TABLES, 0, round(self.level, 3), self.retries)]
+        if step == "move":
+            self.endpoints[s.owner].hot_checks = 0
+            del self.planned[s.number]
         if step in ("revoke", "move", "shed"):
             return self._revoke(s, now, name, step == "shed" or self._overdue(s, now))
         if step == "clear":
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -483,6 +483,53 @@
     assert len(due) == moves
 
 
+def jammed(owners="aaabcd", **terms):
+    """A pilot whose endpoint a is hot on its second check; (the pilot, when)."""
+    p = pilot(owners=owners, **terms)
+    for now in (300_000, 330_000):
+        for name in "abcd":
+            heard(p, now, name, 40, 30 if name == "a" else 0, 15_000 if name == "a" else 3_000)
+        for number, owner in enumerate(owners):
+            p.on_heat(now, number, "get", 40 if owner == "a" else 10, 0, 10_000)
+        p._weigh_up(now)
+        p.check_at = now
+        due = p._check(now)
+    assert due and p.planned and p.endpoints["a"].hot_checks >= 2
+    return p, now
+
+
+def revoked(p, now):
+    return [d[1] for d in decisions(p, now) if d[0] == "level" and d[3] == 0]
+
+
+def test_a_move_that_finds_no_room_goes_out_with_a_later_turn():
+    p, now = jammed(proxies=100, lines_waiting_most=3_000.0)
+    p.turns.append([p.mark, now, 2_500.0, 25.0])
+    assert revoked(p, now + 250) == [] and p.endpoints["a"].hot_checks >= 2
+    p.turns.clear()
+    assert set(revoked(p, now + 5_000)) and p.endpoints["a"].hot_checks == 0 and not p.planned
+
+
+def test_a_move_goes_beside_a_turn_that_is_not_acked_where_heads_are_most_of_the_channel():
+    p, now = jammed(proxies=148, lines_waiting_most=9_500.0, lines_per_message=16.0)
+    p.turns.append([p.mark, now, 148 * 17.0, 17.0])
+    assert revoked(p, now + 250)
+
+
+@pytest.mark.parametrize("event", ["given anew", "target drains", "source drains"])
+def test_a_planned_move_that_no_longer_holds_is_not_made(event):
+    p, now = jammed(proxies=100, lines_waiting_most=3_000.0)
+    number, target = next(iter(p.planned.items()))
+    if event == "given anew":
+        for given in (False, True):
+            p.on_given(now, number, given)
+        p.on_held(now, number, "b")
+    else:
+        p.on_list(now, "update", [entry(target if event == "target drains" else "a", "fading")])
+        p._weigh_up(now)
+    assert number not in [one[1] for one in p._check(now + 250)]
+
+
 def test_a_turn_waits_until_the_channel_is_free():
     p = pilot(lines_per_s=1_000.0)
     p.channel_free = 100_900.0
@@ -499,11 +546,22 @@
     assert bool(decisions(p, 100_000)) is goes
 
 
+@pytest.mark.parametrize("phase, goes", [("fading", True), ("off", True)])
+def test_lines_are_counted_as_the_steps_take_them_where_a_turn_waits_for_room(phase, goes):
+    p = pilot(owners="a" * 12 + "b", proxies=100, lines_waiting_most=5_000.0)
+    p.on_list(50_000, "update", [entry("a", phase)])
+    p.turns.append([p.mark + 1, 0, 2_000.0, 20.0])
+    p.on_ack(99_000, 0, p.mark + 1, 10)      # 1,980 wait; 12 lines with the mark and the head are 2,400 more, 4,500 allowed
+    assert bool(decisions(p, 100_000)) is goes
+
+
 def test_marks_alone_need_room_and_marks_that_are_not_sent_are_not_used_up():
     p = revoking(proxies=100, lines_waiting_most=3_000.0)
     mark = p.mark
-    p.turns.append([p.mark, 0, 2_900.0, 29.0])
     p.on_join(100_500, 100, "z")             # has to be marked
+    for proxy in range(100):                 # all the others have stopped
+        p.on_ack(100_600, proxy, p.mark, 10)
+    p.turns.append([p.mark, 0, 2_900.0, 29.0])
     for now in range(102_000, 112_000, 250):
         assert decisions(p, now) == [] and p.mark == mark
     p.turns.clear()
@@ -511,6 +569,18 @@
     assert p.mark != mark
 
 
+def test_newcomers_are_marked_alone_once_nobody_else_is_waited_for():
+    p = revoking(proxies=3)
+    p.on_join(100_500, 3, "z")
+    for proxy in (0, 1):
+        p.on_ack(101_000, proxy, p.mark, 10)
+    mark = p.mark
+    assert decisions(p, 102_000) == [] and p.mark == mark     # proxy 2 has its mark and has not acked it
+    p.on_ack(103_000, 2, p.mark, 10)
+    decisions(p, 103_250)
+    assert p.mark == mark + 1
+
+
 def test_a_second_ack_of_a_mark_frees_no_more_of_the_channel():
     p = pilot()
     p.turns.append([p.mark + 1, 0, 40.0, 20.0])
