Failing tests: answers lost at a close and at SIGTERM, ages of starts over a stepped wall clock

Cause: Collectors._send_away and _talk close with unread input, and the kernel resets; until_stopped ends the process in the step that reads the signal; PlatformPilot.wall is fixed at start, so startedAtMs of a stepped clock is an hour off.

--- a/tests/platform_parts.py
+++ b/tests/platform_parts.py
@@ -11,6 +11,7 @@
 from program import SECOND, virtual_loop
 
 RELAY, DISCOVERY, PILOT = ("127.0.0.1", 6400), ("127.0.0.1", 8500), ("127.0.0.1", 8081)
+START = 1_700_000_000     # s; Unix time at the loop's nought
 SETTINGS = {
     "classes": [{"name": "get", "on_time_ns": 2_000_000_000, "deadline_ns": 6_000_000_000},
                 {"name": "put", "on_time_ns": 2_000_000_000, "deadline_ns": 3_000_000_000}],
@@ -178,8 +179,8 @@
         self.relay.stands(proxies, slices)
         self.agent = ListAgent(self.loop)
         self.place = a_place(**changes)
-        self.signs = True
-        self.pilot = PlatformPilot(self.loop, self.place, 1_700_000_000 * SECOND, listen(self.loop, PILOT),
+        self.signs, self.wall_offset = True, START * SECOND
+        self.pilot = PlatformPilot(self.loop, self.place, START * SECOND, listen(self.loop, PILOT),
                                    self.loop.report, lambda: 0.5)
         self.brain = self.pilot.brain
         self.loop.spawn(self._signs(), "signs")
@@ -197,6 +198,13 @@
         self.loop.run(self.loop.spawn(wait(), "wait"))
         return self
 
+    def step_wall_clock(self, seconds):
+        """As an administrator does; the monotonic clock runs on."""
+        self.wall_offset += seconds * SECOND
+
+    def unix_ms(self):
+        return (self.loop.now() + self.wall_offset) // 1000
+
     def do(self, coroutine):
         return self.loop.run(self.loop.spawn(coroutine, "test"))
 
--- /dev/null
+++ b/tests/test_last_answers.py
@@ -0,0 +1,109 @@
+"""Who was read gets an answer, however its connection or the process ends: real processes and real loopback sockets."""
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from cedarshift.loop.epoll import real_loop
+from cedarshift.rehearsal.fleet import Ports
+from platform_parts import configuration, frame
+
+PROBE, ALIVE = frame(t="probe"), frame(t="alive")
+EARLIEST_KILL = 0.7       # s after SIGTERM
+
+
+class Program:
+    """The program as `run` starts it, with nobody at the relay or at discovery."""
+
+    def __init__(self, folder):
+        ports = Ports(real_loop())
+        listen, nobody = (f"{host}:{port}" for host, port in (ports.take(), ports.take()))
+        path = folder / "config.json"
+        path.write_text(json.dumps(configuration(listen=listen, discovery=nobody, registry={"address": nobody})))
+        told = {"RELAY_NAME": "n0", "RELAY_LISTEN": listen, "RELAY_DISCOVERY": nobody, "RELAY_CONFIG": str(path)}
+        ports.release()
+        self.address = tuple(listen.rsplit(":", 1))
+        self.process = subprocess.Popen([sys.executable, "-m", "cedarshift", "platform"], env={**os.environ, **told},
+                                        stderr=subprocess.DEVNULL)
+        self._wait_until_ready()
+
+    def _wait_until_ready(self):
+        for _ in range(200):
+            try:
+                with self.connect() as asking:
+                    asking.sendall(PROBE)
+                    if asking.recv(100) == ALIVE:
+                        return
+            except OSError:
+                time.sleep(0.05)
+        raise AssertionError("not ready in 10 s")
+
+    def connect(self):
+        return socket.create_connection(self.address, timeout=5)
+
+    def signal(self, *numbers):
+        for number in numbers:
+            self.process.send_signal(number)
+
+    def end(self):
+        self.process.kill()
+        self.process.wait()
+
+
+@pytest.fixture
+def program(tmp_path):
+    started = Program(tmp_path)
+    yield started
+    started.end()
+
+
+def read_to_end(connection):
+    """(what came, the error that ended it or None)."""
+    received = b""
+    try:
+        while data := connection.recv(65_536):
+            received += data
+    except OSError as error:
+        return received, type(error).__name__
+    return received, None
+
+
+@pytest.mark.parametrize("behind", [b"", b"x" * 100_000])
+def test_an_error_reaches_a_caller_that_goes_on_sending(program, behind):
+    for _ in range(10):
+        with program.connect() as caller:
+            for _ in range(20):              # in pieces: some come after the first was refused
+                caller.sendall(b"GET / HTTP/1.1\r\n\r\n" + behind)
+            received, ended = read_to_end(caller)
+        assert b'"t":"error"' in received and ended is None
+
+
+def test_probes_that_came_before_a_signal_to_stop_are_answered_on_open_and_new_connections(program):
+    idle = [program.connect() for _ in range(20)]
+    for one in idle:
+        one.sendall(PROBE)
+        assert one.recv(100) == ALIVE
+    program.signal(signal.SIGSTOP)
+    new = [program.connect() for _ in range(20)]
+    for one in idle + new:
+        one.sendall(PROBE)
+    program.signal(signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGCONT)
+    begun = time.monotonic()
+    answers = [read_to_end(one) for one in idle + new]
+    assert program.process.wait(EARLIEST_KILL) == 0 and time.monotonic() - begun < EARLIEST_KILL
+    assert answers == [(ALIVE, None)] * 40
+
+
+def test_a_caller_that_is_pushed_out_by_a_crowd_is_answered_first(program):
+    program.signal(signal.SIGSTOP)
+    crowd = [program.connect() for _ in range(150)]          # a quarter of 256 descriptors is for them
+    for one in crowd:
+        one.sendall(PROBE)
+    program.signal(signal.SIGCONT)
+    answers = [read_to_end(one) for one in crowd]
+    assert [received for received, _ in answers] == [ALIVE] * 150 and {ended for _, ended in answers} == {None}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -269,6 +269,28 @@
     assert stage.brain.endpoints["c"].phase == "on"      # unreachable is not empty
 
 
+@pytest.mark.parametrize("whose", ["every machine's", "the pilot's alone"])
+@pytest.mark.parametrize("step", [3600, 5, -5, -3600])
+def test_an_endpoint_warms_up_in_real_time_though_the_wall_clock_was_stepped(step, whose):
+    stage = Stage().run(1)
+    before = stage.wall_offset
+    stage.step_wall_clock(step)
+    stage.run(0.1)
+    if whose == "the pilot's alone":
+        stamp = (stage.loop.now() + before) // 1000
+    else:
+        stamp = stage.unix_ms()
+    stage.agent.tell(listing(8, instance("c", started=stamp)))
+    shares = []
+    for seconds in (0.1, 7.4, 7.4, 3):
+        stage.run(seconds)
+        shares.append(round(stage.brain._warmth(stage.brain.endpoints["c"], stage.pilot._now()), 1))
+    assert shares == [0.2, 0.6, 1.0, 1.0]     # of its capacity at least: the settings have 15 s, from 0.2
+    stage.agent.tell(listing(9, instance("c", started=stamp), reset=True))
+    stage.run(0.1)
+    assert stage.brain._warmth(stage.brain.endpoints["c"], stage.pilot._now()) == 1.0   # the same start, told again
+
+
 # ---- the pilot's address
 
 @pytest.mark.parametrize("sent", [
