A stopping pilot throws no request away; refused commits are rolled back; signals at the end

Related: a caller whose time is over in the step in which its probe comes had it unread.

Change: connections are closed, not lingered on, unless an error is on its way to a stranger; what has come is answered first, also what no edge has told of; signals are ignored once the exit code is known; accept ends with its listener; committed() rolls a refused COMMIT back.

--- a/cedarshift/loop/epoll.py
+++ b/cedarshift/loop/epoll.py
@@ -251,7 +251,8 @@
         self.waiting: Optional[Waker] = None
         self.inner, self.outer = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
         signal.set_wakeup_fd(self.outer, warn_on_full_buffer=False)
-        for number in numbers:
+        self.numbers = tuple(numbers)
+        for number in self.numbers:
             signal.signal(number, lambda *_: None)
         network.register(self.inner, self._ready)
 
@@ -266,6 +267,12 @@
         if self.waiting is not None and self.came:
             self.waiting.wake()
 
+    def ignore(self) -> None:
+        """For the end of a process: the interpreter gives handlers up before it is gone, and a signal that comes after the one
+        which ended it would turn its exit code into a death by signal."""
+        for number in self.numbers:
+            signal.signal(number, signal.SIG_IGN)
+
     def next(self) -> Coroutine:
         """The next signal's number."""
         while not self.came:
--- a/cedarshift/loop/stream.py
+++ b/cedarshift/loop/stream.py
@@ -78,10 +78,11 @@
             finally:
                 self.reader = None
 
-    def take(self) -> Optional[bytes]:
-        """What has come, without waiting: None where there is nothing, b"" at the peer's end. Raises StreamBroken."""
+    def take(self, unseen: bool = False) -> Optional[bytes]:
+        """What has come, without waiting: None where there is nothing, b"" at the peer's end. `unseen`: also what no edge has
+        told of yet. Raises StreamBroken."""
         self._check_open()
-        if not self.readable:
+        if not self.readable and not unseen:
             return None
         try:
             data = self.pipe.recv(READ_AT_ONCE)
--- a/cedarshift/platform/collectors.py
+++ b/cedarshift/platform/collectors.py
@@ -38,6 +38,7 @@
         self.stream = stream
         self.messages_most = messages_most
         self.joined = False
+        self.sent_away = False               # for what it has sent, with an error
         self.messages = frames.Messages(FIRST_MOST)
         self.opened = now
         self.heard_at = now                  # when the newest byte came
@@ -102,7 +103,10 @@
     def _accept(self) -> Coroutine:
         while True:
             for _ in range(ACCEPTS_A_STEP):
-                stream = yield from self.listener.accept()
+                try:
+                    stream = yield from self.listener.accept()
+                except StreamBroken:         # the pilot stops
+                    return
                 self._admit(stream)
             yield from self.loop.breathe()
 
@@ -118,16 +122,28 @@
         """Ends a connection for want of room. What it has asked by now is answered first."""
         del callers[caller]
         self.counts["evicted"] += 1
+        self._answer_now(caller)
+        self._leave(caller)
+
+    def _answer_now(self, caller: Caller) -> None:
+        """Takes in what a caller has sent by now, as its task would."""
         try:
             for _ in range(READS_AT_PARTING):
-                if not (data := caller.stream.take()):
-                    break
+                if not (data := caller.stream.take(unseen=True)):
+                    return
                 self._take_in(caller, data)
         except (Unreadable, Spoilt) as error:
             self._send_away(caller, str(error))
         except StreamBroken:
             pass
-        caller.stream.finish(LINGER_TIMEOUT)
+
+    def _leave(self, caller: Caller) -> None:
+        """Ends a connection. Nothing more is read of it, so that no request is read and left without an answer; only a stranger's
+        bytes, which are none, are read on while its error is on its way."""
+        if caller.sent_away or caller.stream.pending:
+            caller.stream.finish(LINGER_TIMEOUT)
+        else:
+            caller.stream.close()
 
     def stop(self) -> Coroutine:
         """Takes no more connections, answers what comes on those that stand, and returns once nothing more does."""
@@ -140,7 +156,8 @@
             heard = self.messages
             yield from self.loop.sleep(STOP_QUIET)
         for caller in [*self.unjoined, *self.joined]:
-            caller.stream.finish(LINGER_TIMEOUT)
+            self._answer_now(caller)
+            self._leave(caller)
 
     def _admit_waiting(self) -> None:
         """All who are in the kernel's queue: with the listener they would be reset, though they were connected."""
@@ -159,12 +176,14 @@
                 self._take_in(caller, data)
         except (Unreadable, Spoilt) as error:
             self._send_away(caller, str(error))
-        except (StreamBroken, TimedOut):
+        except TimedOut:
+            self._answer_now(caller)         # what came in the step in which its time was over
+        except StreamBroken:
             pass
         finally:
             self.unjoined.pop(caller, None)
             self.joined.pop(caller, None)
-            caller.stream.finish(LINGER_TIMEOUT)
+            self._leave(caller)
 
     def _take_in(self, caller: Caller, data: bytes) -> None:
         """Raises Unreadable or Spoilt where the caller is to be sent away."""
@@ -210,6 +229,7 @@
 
     def _send_away(self, caller: Caller, reason: str) -> None:
         self.counts["sent_away"] += 1
+        caller.sent_away = True
         self.report("caller_sent_away", peer=caller.stream.peer, joined=caller.joined, reason=reason[:200])
         if not caller.joined:                # nothing is ever written to a collector
             try:
--- a/cedarshift/platform/start.py
+++ b/cedarshift/platform/start.py
@@ -49,7 +49,9 @@
     except Refused as error:
         return refuse(error)
     report = loop.report = make_report(loop.clock, told.name)
-    return loop.run(loop.spawn(serve(loop, signals, told, report), "main"))
+    code = loop.run(loop.spawn(serve(loop, signals, told, report), "main"))
+    signals.ignore()
+    return code
 
 
 def refuse(error: Exception) -> int:
--- a/cedarshift/store/ledger.py
+++ b/cedarshift/store/ledger.py
@@ -52,14 +52,16 @@
 
 @contextmanager
 def committed(db: sqlite3.Connection) -> Iterator[None]:
-    """One transaction: all of it, or none."""
+    """One transaction: all of it, or none. A commit that the disk refuses is rolled back as well: left open, the transaction
+    would refuse every later one, also once the disk takes writes again."""
     db.execute("BEGIN IMMEDIATE")
     try:
         yield
+        db.execute("COMMIT")
     except BaseException:
-        db.execute("ROLLBACK")
+        if db.in_transaction:                # some errors have rolled it back already
+            db.execute("ROLLBACK")
         raise
-    db.execute("COMMIT")
 
 
 class MemoryLedger:
