--- a/tests/test_last_answers.py
+++ b/tests/test_last_answers.py
@@ -9,9 +9,12 @@
 
 import pytest
 
+from cedarshift.loop import listen
 from cedarshift.loop.epoll import real_loop
 from cedarshift.rehearsal.fleet import Ports
+from cedarshift.web import Pool, serve_http
 from platform_parts import configuration, frame
+from program import SECOND, virtual_loop
 
 PROBE, ALIVE = frame(t="probe"), frame(t="alive")
 EARLIEST_KILL = 0.7       # s after SIGTERM
@@ -62,6 +65,11 @@
     started.end()
 
 
+@pytest.fixture
+def virtual():
+    return virtual_loop()
+
+
 def read_to_end(connection):
     """(what came, the error that ended it or None)."""
     received = b""
@@ -107,3 +115,18 @@
     program.signal(signal.SIGCONT)
     answers = [read_to_end(one) for one in crowd]
     assert [received for received, _ in answers] == [ALIVE] * 150 and {ended for _, ended in answers} == {None}
+
+
+def test_a_request_whose_handler_fails_is_answered(virtual):
+    loop = virtual
+    listener = listen(loop, ("127.0.0.1", 80))
+
+    def handler(asked):
+        yield from loop.sleep(1)
+        raise ZeroDivisionError
+    loop.spawn(serve_http(loop, listener, handler), "server")
+    pool = Pool(loop, SECOND)
+    for _ in range(2):
+        reply = loop.run(loop.spawn(pool.ask(("127.0.0.1", 80), "GET", "/", [], b"", loop.now() + SECOND), "ask"))
+        assert reply.status == 500
+    assert pool.dialled == 1 and [event for event, _ in loop.heard] == ["request_failed"] * 2
