What is known of endpoints, proxies and slices has a module of its own; one random source

Change: cedarshift/observations.py holds Endpoint, Proxy, Slice and their running sums (RecentSamples, before Heard); the random source of judge/chance.py serves the module too. No decision changes.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,7 @@
 """Builds the state that a test needs."""
-from cedarshift.brain import OWNED, Pilot
+from cedarshift.brain import Pilot
 from cedarshift.interface import Entry, OpType, Terms
+from cedarshift.observations import OWNED
 
 TERMS = dict(
     op_types=(OpType("get", 20_000, 60_000, False, False), OpType("put", 20_000, 30_000, True, False)),
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -1,7 +1,9 @@
 import pytest
 from helpers import decisions, entry, heard, pilot, states
 
-from cedarshift.brain import EMPTY, MARKS, OWNED, SETTLING, Lcg, rendezvous
+from cedarshift.brain import MARKS
+from cedarshift.judge.chance import Lcg
+from cedarshift.observations import EMPTY, OWNED, SETTLING, rendezvous
 
 
 def revoking(now=100_000, **kw):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,7 +1,7 @@
 """Two events that cross at the door to the platform, on real sockets, the order of them made by the test."""
 import pytest
 
-from cedarshift.brain import REVOKING
+from cedarshift.observations import REVOKING
 from cedarshift.loop import StreamBroken
 from cedarshift.loop.epoll import SocketAttempt, SocketPipe
 from cedarshift.platform import collectors, redial, relay
--- a/tests/test_heard.py
+++ b/tests/test_heard.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cedarshift.brain import SAMPLES, Endpoint, Slice
+from cedarshift.observations import SAMPLES, Endpoint, Slice
 from cedarshift.loop.epoll import Signals, real_loop
 
 SUM = st.tuples(st.integers(0, 3_000), st.integers(1, 40), st.integers(0, 40), st.sampled_from((0, 7, 900, 4_000)),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from cedarshift.brain import OWNED, REVOKING
+from cedarshift.observations import OWNED, REVOKING
 from cedarshift.codec.platform.errors import Refused, Unfinished
 from cedarshift.loop import dial
 from cedarshift.loop.epoll import real_loop
