Failing test: a fault of the hearer ends the watch on a list's file for good

Cause: the class of the task calls, looked for elsewhere: FileSource._follow, ServiceSource._follow and tell_figures end at any error outside their contract, and nothing starts them again.

--- a/tests/test_roster_pilot.py
+++ b/tests/test_roster_pilot.py
@@ -11,8 +11,9 @@
 from cedarshift.roster.formats import Member
 from cedarshift.roster.register import RegisterTerms, Registration
 from cedarshift.standins.ensemble import Ensemble, EnsemblePlan
-from program import SECOND, Fleet, Watcher, deployment, virtual_loop
+from program import deployment, Fleet, SECOND, virtual_loop, Watcher, write_list
 from zoo import PATH, PLACES
+from cedarshift.roster.sources import FileSource
 
 BLOCK = """roster "zookeeper" {
     servers = ["127.0.0.1:2181", "127.0.0.1:2182", "127.0.0.1:2183"]
@@ -152,3 +153,18 @@
     pilot.reload(load(str(path)))
     town.run(3)
     assert pilot.members()["source"] == "zookeeper:/svc/other" and not [e for e in pilot.listed.values() if e.phase == "on"]
+
+
+def test_a_fault_of_whoever_hears_a_list_ends_no_watch_on_its_file(tmp_path):
+    loop, told = virtual_loop(), []
+
+    def tell(kind, entries):
+        told.append([entry.endpoint for entry in entries])
+        if len(told) == 1:
+            raise OSError(12, "no memory")
+    write_list(tmp_path, [("a", "on", "1")])
+    source = FileSource(loop, str(tmp_path / "list.json"), 100_000, tell, loop.report)
+    loop.run(loop.spawn(loop.sleep(SECOND), "wait"))
+    write_list(tmp_path, [("b", "on", "1")])
+    loop.run(loop.spawn(loop.sleep(SECOND), "wait"))
+    assert told[-1] == ["b"] and not source.task.done
