--- a/cedarshift/interface.py
+++ b/cedarshift/interface.py
@@ -50,6 +50,7 @@
     lease: int = 0
     in_flight_most: int = 0
     drain_grace: int = 0
+    empty_for: int = 0            # how long a joined proxy may be without a line; 0: not told
     ask_within: int = 0
     warm_within: int = 0
     cold_share: float = 1.0
