--- a/tests/hand_over_fleet.py
+++ b/tests/hand_over_fleet.py
@@ -100,6 +100,26 @@
         self.closed_spans += [self.now - since for since in self.closed_since.values()]
         return self.longest / SECOND
 
+    def lose_pilot(self):
+        """All streams to the pilot are gone; the proxies' leases run out."""
+        for number, proxy in self.proxies.items():
+            proxy.session += 1
+            if proxy.joined:
+                proxy.joined = False
+                self._at(self.now + self.lease, self._lease_over, number, proxy.session)
+        for key in list(self.without):
+            self._fill(*key)
+
+    def give_anew(self):
+        """The slices are given, with all levels open, and the proxies join and read the store; returns the rows."""
+        for number, row in self.store.items():
+            self.store[number] = Row(row.owner, False, row.version + 1)
+            self._note_closed(number, self.store[number])
+        for number, proxy in self.proxies.items():
+            proxy.session += 1
+            self._return(number, proxy.session, number < self.faults.flapping[0])
+        return self.store
+
     # ---- the store and the channel
 
     def _row(self, row, verb, more):
@@ -164,6 +184,8 @@
 
     def _return(self, number, session, again):
         proxy = self.proxies[number]
+        if proxy.session != session:
+            return
         proxy.joined, proxy.has_read, proxy.joined_at = True, False, self.now
         for at, row in proxy.rows.items():
             if not row.owner:
