Tests of lines for reads over breaks of the news; an emptied slice keeps whom it waits for

The door gave a slice anew, and so forgot who may still write to its former owner, where its writes were closed and its line empty over a break of the news of 0.7 s or more.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,7 +16,7 @@
 from cedarshift.platform.start import moved
 from cedarshift.rehearsal.fleet import Ports
 from program import SECOND
-from platform_parts import (PILOT, ListAgent, Relay, Stage, a_place, caller, configuration, frame, instance, listing)
+from platform_parts import (PILOT, SETTINGS, ListAgent, Relay, Stage, a_place, caller, configuration, frame, instance, listing)
 
 LINE, OTHER = ("line", 0, "a", 1), ("line", 1, "b", 1)
 MET = dict(t="outcomes", locality="za", endpoint="a", total=12, errors=3, rtt=41.7, interval=2000.0)
@@ -443,3 +443,58 @@
         report(f"event {number}")
     assert [json.loads(line)["event"] for line in lines].count("spoilt") == LINES_A_SPAN + 1
     assert json.loads(lines[LINES_A_SPAN])["held_back"] == 1000 - LINES_A_SPAN
+
+
+def handed_on_for_reads():
+    """A stage of which slice 0 has left its drained owner `a`, and as nobody acknowledges, has a line for reads alone."""
+    family = {**SETTINGS["family_info"], "empty_for_ns": 8_000_000_000}
+    stage = Stage(settings={**SETTINGS, "family_info": family}).run(2)
+    stage.agent.tell(listing(8, instance("a", "draining")))
+    stage.run(7)
+    assert stage.pilot.reads_only == {0, 2} and "share,0,b,1" in stage.orders() and "admit,0,put,1,0" not in stage.orders()
+    return stage
+
+
+def test_a_line_for_reads_is_taken_back_where_another_pilot_may_have_had_the_slice():
+    stage = handed_on_for_reads()
+    stage.signs = False
+    stage.run(1)                             # silent for longer than another pilot needs
+    stage.relay.stands(slices={0: "b", 1: "b", 2: "b", 3: "b"})
+    before = len(stage.orders())
+    stage.relay.cut()
+    stage.signs = True
+    stage.run(4)
+    told = stage.orders()[before:]
+    assert told.index("share,0,b,0") >= 0 and "share,0,b,1" not in told
+    assert "admit,0,put,1,0" not in told, "writes are let in before all have stopped"
+    for proxy in (0, 1):
+        stage.relay.say("ack", f"node={proxy}&nonce={stage.brain.mark}&latency=10.0")
+    stage.run(3)
+    told = stage.orders()[before:]
+    assert told.index("share,0,b,0") < told.index("share,0,b,1") < told.index("admit,0,put,1,0")
+    assert not stage.pilot.reads_only and 0 not in stage.pilot.closed
+
+
+def test_a_line_for_reads_stays_through_a_break_of_the_news_that_is_shorter():
+    stage = handed_on_for_reads()
+    stage.relay.stands(slices={0: "b", 1: "b", 2: "b", 3: "b"})
+    before = len(stage.orders())
+    stage.relay.cut()
+    stage.run(1)
+    assert "share,0,b,0" not in stage.orders()[before:] and stage.brain.slices[0].reader == "b"
+
+
+def test_an_emptied_slice_keeps_waiting_for_its_proxies_over_a_break_of_the_news():
+    stage = Stage().run(2)
+    stage.agent.tell(listing(8, instance("a", "draining")))
+    stage.run(4)
+    assert not stage.brain.slices[0].line and stage.brain.slices[0].closed
+    mark = stage.brain.slices[0].mark
+    stage.signs = False
+    stage.run(1)
+    stage.relay.stands(slices={0: "", 1: "b", 2: "", 3: "b"})
+    stage.relay.cut()
+    stage.signs = True
+    stage.run(3)
+    assert stage.brain.slices[0].mark == mark and stage.brain.slices[0].state == "revoking"
+    assert "share,0,b,1" not in stage.orders(), "granted while nobody has acknowledged the revoke"
