The channel's pace and room are a module of their own; typed batches

Clean-up of the touched code: brain.py kept batches as lists of four numbers and computed room in three places. judge/order_channel.py has them now, by the field's names.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -13,7 +13,8 @@
 from cedarshift.diagnostics import DecisionCounts, HandOverWait, KeptReason
 from cedarshift.interface import Entry, Terms
 from cedarshift.judge.chance import Lcg
-from cedarshift.judge.write_stops import BARRIERS, WriteStops, older
+from cedarshift.judge.order_channel import ACKS_PAUSE, OrderChannel
+from cedarshift.judge.write_stops import BARRIERS, WriteStops
 from cedarshift.observations import EMPTY, HOLD, OWNED, REVOKING, SETTLING, Endpoint, Proxy, Slice, rendezvous
 
 # Constants: unit, then the reason for the size.
@@ -44,11 +45,6 @@
 SERVED_WELL = 1.75        # acked share of all that comes by the tipping multiple: less shrinks cold budgets
 SERVED_LEAST = 0.1        # share; sums that came apart in time must not shrink a cold budget to nothing
 COLD_SHED = 0.6           # share of the tipping load past which a restarted owner gives slices up
-ROOM = (0.95, 0.9, 0.6, 0.5)   # shares of the channel's waiting lines used, by urgency: a drain finds room
-RESERVED_LINES = 3        # lines a proxy, beside the head, that a move leaves room for: a slice's revoke, clear and grant
-GATHER = 0.15             # share of the channel that may wait when a turn goes without all that is due
-ACKS_PAUSE = 5_000        # 0.1 ms; with no ack for so long nothing tells that the channel drains
-TURN_HEADS = 1.25         # times what a turn's heads hold the channel, between turns: they fill four fifths
 LEVEL_STEP = 0.05         # added to the level a check; full again within some ten checks
 LEVEL_SHARE = 0.85        # what is left of the level after a check under overload
 LEVEL_LEAST = 0.6         # the level never goes below: deeper cuts reject what would be acked
@@ -81,14 +77,10 @@
         self.check_every = max(CHECK_EVERY, terms.report_period)
         self.pilots, self.place, self.slices_in_all = max(1, terms.pilots), terms.place, terms.slices
         self.cold_share, self.warm_within, self.tip = terms.cold_share, terms.warm_within, terms.tip_multiple
-        self.head = terms.lines_per_message + 1   # every message carries a mark
-        self.room = terms.lines_waiting_most or math.inf
-        self.per_line = 10_000 / terms.lines_per_s if terms.lines_per_s else 0.0   # 0.1 ms
-        self.even = terms.messages_span // max(1, terms.messages_most - 1) + 1 if terms.messages_most else 0
+        self.channel = OrderChannel(terms)
         # A drained endpoint's lines go so long after it was heard, less the channel's queue: an op taken in
         # before may still wait for its connection.
         self.grace = terms.drain_grace - terms.drain_grace // 6 - terms.transit_most - terms.connect_most
-        self.queue = 0.0                     # 0.1 ms; what a turn ordered now waits in the channel
         self.ask_most = max(ASK_AGAIN, terms.ask_within // 4)
         self.endpoints: dict[str, Endpoint] = {}
         self.stops = WriteStops(self.lease, terms.transit_most)
@@ -98,10 +90,7 @@
         self.ack_within = ACKS_PAUSE + ACK_WAYS * terms.transit_most
         self.slices: dict[int, Slice] = {}
         self.mark = Lcg(terms.seed).draw(MARKS)   # the first one by chance: no mark of a life before
-        self.turns: deque = deque()          # [mark, ordered at, lines, a proxy's] not known to have left
-        self.sent_at = -math.inf             # when the last turn went out
         self.newcomers: set[int] = set()     # proxies joined since then: no mark has reached them
-        self.channel_free = 0.0              # when all that was ordered has left, at the stated pace
         self.beat = 0                        # nonce of the alarm that counts
         self.ask_at, self.ask_wait = 0, ASK_AGAIN
         self.check_at = 0                    # when the mover and the level look next
@@ -170,12 +159,11 @@
 
     def on_ack(self, now: int, proxy: int, mark: int, took: int) -> None:
         p = self.proxies.get(proxy)
-        turn = next((t for t in self.turns if t[0] == mark), None)
-        in_force_at = min(now, turn[1] + took) if turn else now   # it took effect before it was heard
-        if p and self.stops.on_ack(now, p, mark, in_force_at) and turn:
-            turn[2] -= turn[3]               # its message has left the channel
-        while self.turns and older(self.turns[0][0], mark):
-            self.turns.popleft()             # the channel keeps order: earlier turns have left it
+        batch = self.channel.batch(mark)
+        in_force_at = min(now, batch.ordered_at + took) if batch else now   # it took effect before it was heard
+        if p and self.stops.on_ack(now, p, mark, in_force_at) and batch:
+            batch.waiting -= batch.lines     # its message has left the channel
+        self.channel.left_before(mark)
 
     def on_met(self, now: int, endpoint: str, zone: str, tries: int, aborted: int, took: int,
                span: int) -> None:
@@ -381,7 +369,7 @@
         return max(e.told_at, s.given_at) if e and self._must_leave(e.name) else math.inf
 
     def _overdue(self, s: Slice, now: int) -> bool:
-        return now >= self._told(s) + self.grace - self.queue
+        return now >= self._told(s) + self.grace - self.channel.delay
 
     def _room_at(self, e: Endpoint, now: int) -> float:
         """What an endpoint may bear of this pilot's slices. A cold one is a budget of the tipping multiple
@@ -503,7 +491,7 @@
         for s in [s for s in self._sorted_slices() if s.state != OWNED or s.owner not in fit or s.doubtful]:
             n = s.number
             told[n] = self._told(s)
-            overdue = now >= told[n] + self.grace - self.queue
+            overdue = now >= told[n] + self.grace - self.channel.delay
             if s.state == REVOKING:
                 turn = (s.mark, s.since, s.given_at)
                 if turn not in stopped:
@@ -624,21 +612,20 @@
     def _turn(self, now: int) -> None:
         """All that is due and fits becomes one delta message a proxy, with one mark."""
         joined = sum(p.joined for p in self.proxies.values())
-        heads = joined * self.head * self.per_line
-        gap = max(self.even, TURN_HEADS * heads)
-        if now < max(self.sent_at + gap, self.channel_free):
-            return                           # what is due waits here and goes together, the urgent first
-        self.roomy, waiting = None, sum(t[2] for t in self.turns)
-        self.queue = max(0, self.channel_free - now) + heads + joined * self.leaving * self.per_line + gap
+        channel = self.channel
+        if not channel.ready(now, joined):
+            return
+        self.roomy = None
+        channel.estimate_delay(now, joined, self.leaving)
         due = self._due(now)
-        if self._crowded(due, waiting, joined, now):
+        if channel.crowded(now, joined, self._lines_due(due), self.stops.heard_at):
             self.counts.waits_for_acks += 1
             return
-        if now - self.sent_at >= 2 * self.even:   # so that a drain seldom meets a turn just gone
+        if now - channel.sent_at >= 2 * channel.even:   # so that a drain seldom meets a turn just gone
             due += self._check(now)
         revoked = {(s.mark, s.since, s.given_at): s for s in self._sorted_slices()
                    if s.state == REVOKING and s.mark is not None}.values()
-        unmarked = waiting + joined * self.head <= ROOM[1] * self.room and self._barrier_is_due(revoked, now)
+        unmarked = channel.fits_barrier(joined) and self._barrier_is_due(revoked, now)
         if self.can_level and self.slices and abs(self.level - self.level_sent) >= LEVEL_STEP / 2:
             due.append((3, -1, "level", None))
         if not (due or unmarked):
@@ -646,8 +633,7 @@
         self.mark = (self.mark + 1) % MARKS
         lines: list[tuple] = []
         for at, (urgency, n, step, name) in enumerate(due):
-            room = self._room_for(urgency if waiting else 0, joined)
-            if joined and waiting + joined * (self.head + len(lines) + 2) > room:
+            if not channel.fits(urgency, joined, len(lines)):
                 self.counts.moves_without_room += sum(one[2] == "move" for one in due[at:])
                 break
             lines += self._step(step, self.slices.get(n), name, now)
@@ -656,35 +642,22 @@
             self.news = True
             lines.append(("mark", self.mark, True))
             self.out.extend(lines)
-            each = self.head + len(lines) - 1
-            self.turns.append([self.mark, now, joined * each, each])
-            self.channel_free = max(now, self.channel_free) + joined * each * self.per_line
-            self.sent_at = now
+            channel.send(now, self.mark, joined, len(lines))
             self.newcomers.clear()
         else:
             self.mark = (self.mark - 1) % MARKS   # nothing fitted: an unsent mark would use up the ring
 
     def _barrier_is_due(self, revoked: Collection[Slice], now: int) -> bool:
         """Whether a barrier goes out by itself: for proxies that have joined since the last one, or as an acknowledgement may be lost."""
-        if now - self.sent_at >= self.ack_within:
+        if now - self.channel.sent_at >= self.ack_within:
             asked: Iterable[Proxy] = (proxy for proxy in self.proxies.values() if proxy.joined)
         else:
             asked = (self.proxies[number] for number in self.newcomers)
         return any(self.stops.stop(proxy, s) is None for proxy in asked for s in revoked)
 
-    def _room_for(self, urgency: int, joined: int) -> float:
-        """Lines that may wait in the channel once a turn of an urgency has gone out. Where the heads of a single turn are as
-        much as a share, all but the room for one further turn is open: else nothing went beside a turn that is unacked."""
-        further = joined * (self.head + RESERVED_LINES) if urgency else 0
-        return max(self.room * ROOM[urgency], self.room * ROOM[0] - further)
-
-    def _crowded(self, due: list[tuple], waiting: float, joined: int, now: int) -> bool:
-        """Whether to wait for room while acks come in. Heads are most of a turn: in a channel that is slower
-        than stated, turns of a line each would fill it with heads, and drains would wait for one another."""
-        urgent = [(step, self.slices[number]) for urgency, number, step, _ in due if urgency <= 1]
-        lines = 1 + sum(self._lines_of(step, s) for step, s in urgent)
-        return (waiting > GATHER * self.room and now - self.stops.heard_at < ACKS_PAUSE
-                and waiting + joined * (self.head + lines) > ROOM[1] * self.room)
+    def _lines_due(self, due: list[tuple]) -> int:
+        """Lines a proxy that a batch needs for all that a rule asks for and all grants, its barrier among them."""
+        return 1 + sum(self._lines_of(step, self.slices[number]) for urgency, number, step, _ in due if urgency <= 1)
 
     def _lines_of(self, step: str, s: Slice) -> int:
         """Lines a proxy that a step of a slice's hand-over takes, as `_step` gives them at most."""
--- a/tests/fleet_process.py
+++ b/tests/fleet_process.py
@@ -1,5 +1,6 @@
 """The real program at the platform before a relay of 150 modelled proxies, over loopback: streams that break, flap, stay mute or
-deaf, answers to calls that are lost, event streams that are reset, kills and restarts. By hand: `.venv/bin/python tests/fleet_process.py FIRST LAST`.
+deaf, answers to calls that are lost, event streams that are reset, kills and restarts. By hand, eight seeds side by side:
+`.venv/bin/python tests/fleet_process.py FIRST LAST [SECONDS]`.
 
 What decides are the oracles of `cedarshift/standins/proxy_fleet.py`, over what the proxies hold.
 """
@@ -13,9 +14,11 @@
 import tempfile
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from cedarshift.loop import StreamBroken
 from cedarshift.loop.epoll import real_loop
 from cedarshift.rehearsal.fleet import Ports
 from cedarshift.standins.proxy_fleet import Faults, ProxyFleet
@@ -31,6 +34,7 @@
 REPLACE_EVERY, GONE_AFTER = 3.0, 4.5
 TAKEN_OVER_AFTER = 0.9    # s from the loss of a pilot to its slices' next giving, at the earliest
 READY_WITHIN = 10.0
+SIDE_BY_SIDE = 8          # seeds at a time, by hand
 EARLIEST_KILL = 0.7       # s after SIGTERM
 PROBE, ALIVE = frame(t="probe"), frame(t="alive")
 
@@ -102,6 +106,12 @@
         else:
             self.say("hello" if event == "join" else "bye", _hello(proxy) if event == "join" else f"node={proxy}")
 
+    def _write(self, text):
+        try:
+            super()._write(text)
+        except StreamBroken:                 # the process was killed: whoever follows next is told what stands
+            self.streams = []
+
     def _answer(self, stream, conn, number, orders):
         drawn = self.chance.random()
         for outcome, share in self.door_faults.answers.items():
@@ -114,6 +124,16 @@
         super()._answer(stream, conn, number, orders)
 
 
+class FleetAgent(ListAgent):
+    """A discovery that outlives the process it serves."""
+
+    def tell(self, text):
+        try:
+            super().tell(text)
+        except StreamBroken:
+            self.streams = []
+
+
 def _hello(proxy):
     return f"node={proxy}&locality=za&w=2.5&cold=0"
 
@@ -147,13 +167,18 @@
         self.environ = {**os.environ, "RELAY_NAME": "n0", "RELAY_LISTEN": "%s:%d" % self.listen,
                         "RELAY_DISCOVERY": "%s:%d" % discovery, "RELAY_CONFIG": str(self.folder / "config.json")}
         owners = {2 * number: self.names[number % ENDPOINTS] for number in range(SLICES)}
-        self.loop = real_loop()
+        self.loop = real_loop(self._report)
         self.relay = FleetRelay(self.loop, relay, seed, faults, door, owners)
-        self.agent = ListAgent(self.loop, discovery)
+        self.agent = FleetAgent(self.loop, discovery)
         self.loop.spawn(self._release(), "release")
         self.thread = threading.Thread(target=self.loop.run, daemon=True)
         self.broken, self.longest = [], 0.0
 
+    def _report(self, event, **fields):
+        """A fault of the peers themselves is no verdict on the program."""
+        if event in ("task_failed", "timer_failed"):
+            self.broken.append(f"the stand-in: {event} {fields}"[:2000])
+
     def run(self, seconds):
         """Returns what was broken."""
         self.thread.start()
@@ -269,10 +294,11 @@
     first, last = int(sys.argv[1]), int(sys.argv[2])
     seconds = float(sys.argv[3]) if len(sys.argv) > 3 else 40.0
     failed = 0
-    for seed in range(first, last + 1):
-        broken, longest, faults = soak(seed, seconds)
-        failed += bool(broken)
-        print(seed, "BROKEN" if broken else "kept", f"{longest:.1f} s", *broken[:3], *faults, flush=True)
+    seeds = range(first, last + 1)
+    with ThreadPoolExecutor(SIDE_BY_SIDE) as pool:
+        for seed, (broken, longest, faults) in zip(seeds, pool.map(lambda seed: soak(seed, seconds), seeds)):
+            failed += bool(broken)
+            print(seed, "BROKEN" if broken else "kept", f"{longest:.1f} s", *broken[:3], *faults, flush=True)
     print(f"{last - first + 1} seeds, {failed} broken")
     return bool(failed)
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -3,6 +3,7 @@
 
 from cedarshift.brain import MARKS
 from cedarshift.judge.chance import Lcg
+from cedarshift.judge.order_channel import Batch
 from cedarshift.observations import EMPTY, OWNED, SETTLING, rendezvous
 
 
@@ -167,14 +168,14 @@
 @pytest.mark.parametrize("most, after, free", [(0, 0, True), (12, 9_000, False), (12, 9_100, True)])
 def test_turns_are_an_even_gap_apart(most, after, free):
     p = pilot(messages_most=most, messages_span=100_000)
-    p.sent_at = 100_000 - after
+    p.channel.sent_at = 100_000 - after
     p.on_list(100_000, "update", [entry("a", "off")])
     assert (decisions(p, 100_000) != []) is free
 
 
 def test_a_turn_that_does_not_fit_the_channel_waits():
     p = pilot(lines_waiting_most=70.0)
-    p.turns.append([p.mark, 0, 40.0, 20.0])
+    p.channel.unacknowledged.append(Batch(p.mark, 0, 40.0, 20.0))
     p.on_list(100_000, "update", [entry("a", "off")])
     assert decisions(p, 100_000) == []
     p.on_ack(100_100, 0, (p.mark + 1) % MARKS, 10)   # a later mark acked: the earlier has left
@@ -339,7 +340,7 @@
 
 def test_a_drain_finds_room_in_a_channel_that_moves_have_filled():
     p = pilot(lines_waiting_most=200.0)
-    p.turns.append([p.mark, 0, 155.0, 77.5])
+    p.channel.unacknowledged.append(Batch(p.mark, 0, 155.0, 77.5))
     p.on_list(100_000, "update", [entry("a", "fading")])
     assert decisions(p, 100_000) == []
     assert ("line", 0, "a", 0) in decisions(p, 138_000) + decisions(p, 138_500)
@@ -398,7 +399,7 @@
 
 def test_what_a_cut_off_quarter_has_not_acked_leaves_room_for_a_dozen_grants():
     p = pilot(owners="-" * 16, proxies=100, lines_waiting_most=4_600.0)
-    p.turns.append([p.mark, 0, 25 * 16.0, 16.0])  # 25 proxies that are cut off never ack this one
+    p.channel.unacknowledged.append(Batch(p.mark, 0, 25 * 16.0, 16.0))  # 25 proxies that are cut off never ack this one
     for s in p.slices.values():
         s.state = EMPTY
     assert len([d for d in decisions(p, 100_000) if d[0] == "line"]) >= 12
@@ -506,15 +507,15 @@
 
 def test_a_move_that_finds_no_room_goes_out_with_a_later_turn():
     p, now = jammed(proxies=100, lines_waiting_most=3_000.0)
-    p.turns.append([p.mark, now, 2_500.0, 25.0])
+    p.channel.unacknowledged.append(Batch(p.mark, now, 2_500.0, 25.0))
     assert revoked(p, now + 250) == [] and p.endpoints["a"].hot_checks >= 2
-    p.turns.clear()
+    p.channel.unacknowledged.clear()
     assert set(revoked(p, now + 5_000)) and p.endpoints["a"].hot_checks == 0 and not p.planned
 
 
 def test_a_move_goes_beside_a_turn_that_is_not_acked_where_heads_are_most_of_the_channel():
     p, now = jammed(proxies=148, lines_waiting_most=9_500.0, lines_per_message=16.0)
-    p.turns.append([p.mark, now, 148 * 17.0, 17.0])
+    p.channel.unacknowledged.append(Batch(p.mark, now, 148 * 17.0, 17.0))
     assert revoked(p, now + 250)
 
 
@@ -534,7 +535,7 @@
 
 def test_a_turn_waits_until_the_channel_is_free():
     p = pilot(lines_per_s=1_000.0)
-    p.channel_free = 100_900.0
+    p.channel.free_at = 100_900.0
     p.on_list(100_000, "update", [entry("a", "off")])
     assert decisions(p, 100_800) == [] and decisions(p, 101_000) != []
 
@@ -543,7 +544,7 @@
 def test_in_a_slow_channel_what_is_due_is_gathered_while_acks_come_in(last_ack, goes):
     p = pilot(owners="a" * 20 + "b", proxies=100, lines_waiting_most=5_000.0)
     p.on_list(50_000, "update", [entry("a", "off")])
-    p.turns.append([p.mark + 1, 0, 2_500.0, 25.0])
+    p.channel.unacknowledged.append(Batch(p.mark + 1, 0, 2_500.0, 25.0))
     p.on_ack(last_ack, 0, p.mark + 1, 10)    # of 100 messages 99 still wait; there is room for lines, not for them all
     assert bool(decisions(p, 100_000)) is goes
 
@@ -552,7 +553,7 @@
 def test_lines_are_counted_as_the_steps_take_them_where_a_turn_waits_for_room(phase, goes):
     p = pilot(owners="a" * 12 + "b", proxies=100, lines_waiting_most=5_000.0)
     p.on_list(50_000, "update", [entry("a", phase)])
-    p.turns.append([p.mark + 1, 0, 2_000.0, 20.0])
+    p.channel.unacknowledged.append(Batch(p.mark + 1, 0, 2_000.0, 20.0))
     p.on_ack(99_000, 0, p.mark + 1, 10)      # 1,980 wait; 12 lines with the mark and the head are 2,400 more, 4,500 allowed
     assert bool(decisions(p, 100_000)) is goes
 
@@ -560,21 +561,21 @@
 def test_marks_alone_need_room_and_marks_that_are_not_sent_are_not_used_up():
     p = revoking(proxies=100, lines_waiting_most=3_000.0)
     mark = p.mark
-    p.turns.append([p.mark, 0, 2_900.0, 29.0])
+    p.channel.unacknowledged.append(Batch(p.mark, 0, 2_900.0, 29.0))
     p.on_join(100_500, 100, "z")             # has to be marked
     for now in range(102_000, 112_000, 250):
         assert decisions(p, now) == [] and p.mark == mark
-    p.turns.clear()
+    p.channel.unacknowledged.clear()
     decisions(p, 112_000)
     assert p.mark != mark
 
 
 def test_a_second_ack_of_a_mark_frees_no_more_of_the_channel():
     p = pilot()
-    p.turns.append([p.mark + 1, 0, 40.0, 20.0])
+    p.channel.unacknowledged.append(Batch(p.mark + 1, 0, 40.0, 20.0))
     for took in (10, 900):
         p.on_ack(1_000, 0, p.mark + 1, took)
-    assert p.turns[0][2] == 20.0 and p.proxies[0].acked_at == 10
+    assert p.channel.unacknowledged[0].waiting == 20.0 and p.proxies[0].acked_at == 10
 
 
 def test_endpoints_that_come_and_go_are_forgotten_but_not_what_a_slice_still_names():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -104,7 +104,7 @@
 def test_an_ack_counts_from_the_decision_however_late_the_call_was_taken():
     stage = Stage().run(1)
     stage.relay.script = ["lost", "lost"]
-    stage.brain.turns.append([9, stage.pilot._now(), 0, 0])
+    stage.brain.channel.send(stage.pilot._now(), 9, 0, 1)
     decided = stage.pilot._now()
     stage.order(("mark", 9, True))
     stage.run(1.5)
