--- a/tests/test_hand_over_liveness.py
+++ b/tests/test_hand_over_liveness.py
@@ -7,6 +7,7 @@
 
 from cedarshift.brain import Pilot
 from cedarshift.interface import OpType, Terms
+from cedarshift.judge.write_stops import WriteStops
 from cedarshift.standins.proxy_fleet import SECOND, Faults, ProxyFleet
 
 STEP = 250                # how often the module's timer runs
@@ -83,6 +84,7 @@
     "5 breaks a second": Faults(breaks=5), "8 breaks a second": Faults(breaks=8),
     "5 breaks a second, back within the lease": Faults(breaks=5, away=(0.2, 0.7)),
     "5 flap": Faults(flapping=(5, 0.6, 0.3)), "15 flap": Faults(flapping=(15, 0.6, 0.3)), "40 flap, fast": Faults(flapping=(40, 0.3, 0.1)),
+    "10 flap, and never read": Faults(flapping=(10, 0.09, 0.05)),
     "one mute": Faults(mute=frozenset({7})), "ten mute, 3 breaks": Faults(mute=frozenset(range(10)), breaks=3),
     "one deaf": Faults(deaf=frozenset({7})), "a fifth of acknowledgements lost": Faults(lost=0.2),
     "slow channel, 5 breaks": Faults(slow=(10, 40, 3.0), breaks=5),
@@ -109,3 +111,31 @@
 def test_an_undisturbed_hand_over_takes_the_settle_time_and_little_more():
     play = Play(3, Faults(), empty_for=int(EMPTY_FOR * SECOND))
     assert play.run(40) <= 5.0
+
+
+def no_settle_time(patch):
+    patch.setattr(Pilot, "__init__", lambda self, terms, init=Pilot.__init__: (init(self, terms), setattr(self, "settle", 0))[0])
+
+
+def acknowledgements_not_awaited(patch):
+    stop = WriteStops.stop
+    patch.setattr(WriteStops, "stop", lambda self, proxy, s: s.since if proxy.joined and stop(self, proxy, s) is None else stop(self, proxy, s))
+
+
+def breaks_without_a_lease(patch):
+    stop = WriteStops.stop
+    patch.setattr(WriteStops, "stop", lambda self, proxy, s: stop(self, proxy, s) if proxy.joined else proxy.left_at - 10 * SECOND)
+
+
+def writes_open_with_reads(patch):
+    patch.setattr(Pilot, "_grant_reads", lambda self, s, now, owner: self._grant(s, now, owner))
+
+
+@pytest.mark.parametrize("plant, case", [
+    (no_settle_time, "3 breaks a second"), (acknowledgements_not_awaited, "10 flap, and never read"), (breaks_without_a_lease, "5 breaks a second"),
+    (writes_open_with_reads, "10 flap, and never read")])
+def test_the_oracle_of_single_ownership_finds(plant, case, monkeypatch):
+    plant(monkeypatch)
+    play = Play(1, CASES[case], empty_for=int(EMPTY_FOR * SECOND))
+    play.run(40)
+    assert play.fleet.conflicts
