--- a/cedarshift/platform/relay.py
+++ b/cedarshift/platform/relay.py
@@ -16,7 +16,7 @@
 from cedarshift.web import Followed, NotSent, Pool
 
 # Constants: unit, then the reason for the size.
-ANSWER_WITHIN = 250_000   # us; answers come within 50 ms or never; the rest is for this process's own turns off the core
+ANSWER_WITHIN = 100_000   # us; answers come within 50 ms or never; as much again for their way and this process
 IDLE_MOST = 2_000_000     # us; the relay closes idle connections at 10 s or sooner, and a call must not meet that
 PROOF_LEAST = 400_000     # us; what the first ack of a turn takes to come where the channel keeps its pace
 PROOF_MOST = 4_000_000    # us; with no ack for so long the call is made again whatever the channel does
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,6 +7,7 @@
 from cedarshift.platform import collectors, redial, relay
 from cedarshift.platform.collectors import Limits
 from cedarshift.web import NotSent, Pool
+from cedarshift.platform.relay import ANSWER_WITHIN
 from scripted_peers import (CHUNKED, SECOND, Server, Stage, SteppedLoop, answer, call_to, chunk, frame, news, open_descriptors,
                             standing, taken)
 
@@ -245,7 +246,7 @@
     call.request()
     stream.reset()
     stage.loop.settle()
-    stage.loop.clock.time += 200_000         # before the call is given up
+    stage.loop.clock.time += ANSWER_WITHIN * 4 // 5   # before the call is given up
     stream = stage.relay.accept()
     stage.pilot.news.heard_at -= 1_000_000   # a silence that began long before
     stream.request()
