Log of hand-overs names the oldest's proxies alone; stalls of the event stream in the soak

awaited() over all proxies and revoked slices once a second would have cost a core's share at 1,600 proxies; it is asked for the slice that has waited longest and those newly late. The time at which a barrier was overtaken is looked up only where there is one. The soak draws stalled event streams.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -410,12 +410,13 @@
 
     def hand_over_waits(self, now: int) -> list[HandOverWait]:
         """Slices in the middle of a hand-over, those first that have been without a line for longest. For the log."""
-        waits = [HandOverWait(s.number, s.state, now - s.since, 0 if s.line else now - s.empty_since, self._awaited(s))
+        waits = [HandOverWait(s.number, s.state, now - s.since, 0 if s.line or s.reader else now - s.empty_since)
                  for s in self._sorted_slices() if s.state != OWNED]
         return sorted(waits, key=lambda wait: (-wait.without_line, -wait.age))
 
-    def _awaited(self, s: Slice) -> list[int]:
-        """Proxies that may still write to the former owner, by number."""
+    def awaited(self, slice_id: int) -> list[int]:
+        """Proxies that may still write to a slice's former owner, by number. For the log."""
+        s = self.slices[slice_id]
         if s.state != REVOKING or s.mark is None:
             return []
         return list(self.stops.awaited(s))
--- a/cedarshift/diagnostics.py
+++ b/cedarshift/diagnostics.py
@@ -28,12 +28,11 @@
     step: str                            # the state that it is in
     age: int                             # since the step began
     without_line: int                    # since its table names no endpoint; 0 where it names one
-    waits_for: list[int]                 # proxies that may still write to the former owner
 
-    def fields(self) -> dict[str, object]:
-        """What the log shows."""
+    def fields(self, awaited: list[int]) -> dict[str, object]:
+        """What the log shows. `awaited`: proxies that may still write to the former owner."""
         return {"slice": self.slice_id, "step": self.step, "age_ms": self.age // 10, "without_line_ms": self.without_line // 10,
-                "waits_for": len(self.waits_for), "first": self.waits_for[:PROXIES_SHOWN]}
+                "waits_for": len(awaited), "first": awaited[:PROXIES_SHOWN]}
 
 
 @dataclass
--- a/cedarshift/judge/write_stops.py
+++ b/cedarshift/judge/write_stops.py
@@ -112,13 +112,18 @@
 
     def _silent_end(self, proxy: Proxy, revoked: Slice) -> Optional[int]:
         """When a proxy that stays silent in its open stream must have stopped; None while its message may wait in the channel."""
-        mark = revoked.mark
-        if revoked.overtaken_at is None and mark is not None:
-            revoked.overtaken_at = next((one.at for one in self.overtaken if not older(one.barrier, mark)), None)
+        if revoked.overtaken_at is None:
+            revoked.overtaken_at = self._overtaken_at(revoked.mark)
         if revoked.overtaken_at is None:
             return None
         return max(revoked.overtaken_at, proxy.joined_at) + self.silent_after
 
+    def _overtaken_at(self, barrier: Optional[int]) -> Optional[int]:
+        """When all messages up to a barrier were first known to have left the channel; None while they may wait there."""
+        if barrier is None or not self.overtaken or older(self.overtaken[-1].barrier, barrier):
+            return None
+        return next(one.at for one in self.overtaken if not older(one.barrier, barrier))
+
     def _confirm_silent(self, proxy: Proxy) -> None:
         """Keeps what a stream that ends has proved by its silence."""
         until = self.heard_at - self.silent_after
--- a/cedarshift/platform/service.py
+++ b/cedarshift/platform/service.py
@@ -14,6 +14,7 @@
 from cedarshift.codec.platform.entries import Listed
 from cedarshift.codec.platform.errors import Spoilt
 from cedarshift.codec.platform.place import Place
+from cedarshift.diagnostics import HandOverWait
 from cedarshift.interface import pulled
 from cedarshift.loop import Loop
 from cedarshift.loop.core import Coroutine
@@ -259,13 +260,16 @@
         waits = self.brain.hand_over_waits(self._now())
         if waits:
             without = sum(wait.without_line > 0 for wait in waits)
-            self.report("hand_overs", under_way=len(waits), without_line=without, oldest=waits[0].fields())
+            self.report("hand_overs", under_way=len(waits), without_line=without, oldest=self._told(waits[0]))
         late = [wait for wait in waits if self.late_after and wait.without_line >= self.late_after]
         for wait in late:
             if wait.slice_id not in self.late_slices:
-                self.report("slice_without_line", **wait.fields())
+                self.report("slice_without_line", **self._told(wait))
         self.late_slices = {wait.slice_id for wait in late}
 
+    def _told(self, wait: HandOverWait) -> dict[str, object]:
+        return wait.fields(self.brain.awaited(wait.slice_id))
+
     # ---- what is decided
 
     def _now(self) -> int:
--- a/tests/fleet_process.py
+++ b/tests/fleet_process.py
@@ -41,11 +41,13 @@
 
 @dataclass
 class DoorFaults:
-    """`answers`: by outcome of a call its share ("silent", "lost", "spoilt"). `resets`: event streams reset a second. `stops`: (s after
-    the start, seconds until the next start, graceful) of the process."""
+    """`answers`: by outcome of a call its share ("silent", "lost", "spoilt"). `resets`: event streams reset a second. `stalls`: times a
+    second that events are held back for 0.2 to 4 s, and come in order then. `stops`: (s after the start, seconds until the next
+    start, graceful) of the process."""
 
     answers: dict[str, float] = field(default_factory=dict)
     resets: float = 0.0
+    stalls: float = 0.0
     stops: tuple[tuple[float, float, bool], ...] = ()
 
 
@@ -57,6 +59,7 @@
         self.chance, self.door_faults, self.began = random.Random(seed), door, loop.now()
         self.fleet = ProxyFleet(seed, faults, owners, self._tell, PROXIES, int(LEASE * 10_000), int(IN_HAND * 10_000))
         self.lost_at, self.losing = None, False
+        self.stalled_until, self.held_back = 0, []   # (streams, text) of each write meanwhile
         loop.spawn(self._play(), "fleet")
 
     def now(self):
@@ -81,6 +84,8 @@
                 self._give_back()
             if self.chance.random() < self.door_faults.resets * TICK / 1e6:
                 self.cut()
+            if self.chance.random() < self.door_faults.stalls * TICK / 1e6:
+                self.stalled_until = self.loop.now() + int(self.chance.uniform(0.2, 4) * 1e6)
             if self.loop.now() >= next_sign:
                 next_sign = self.loop.now() + SIGN_EVERY
                 self._write(":\n\n")
@@ -107,6 +112,16 @@
             self.say("hello" if event == "join" else "bye", _hello(proxy) if event == "join" else f"node={proxy}")
 
     def _write(self, text):
+        if self.loop.now() < self.stalled_until:
+            self.held_back.append((list(self.streams), text))
+            return
+        held, self.held_back = self.held_back, []
+        for streams, late in held:           # what a stream that has gone was to tell is lost
+            if streams == self.streams:
+                self._write_now(late)
+        self._write_now(text)
+
+    def _write_now(self, text):
         try:
             super()._write(text)
         except StreamBroken:                 # the process was killed: whoever follows next is told what stands
@@ -262,7 +277,7 @@
     """The faults of a seed: one to four kinds, and in some lives a stop of the process."""
     chance = random.Random(seed)
     faults, door = Faults(), DoorFaults()
-    for kind in chance.sample(["breaks", "flap", "mute", "deaf", "lost", "slow", "answers", "resets", "stops"], chance.randint(1, 4)):
+    for kind in chance.sample(["breaks", "flap", "mute", "deaf", "lost", "slow", "answers", "resets", "stops", "stalls"], chance.randint(1, 4)):
         if kind == "breaks":
             faults.breaks, faults.away = chance.uniform(0.5, 8), chance.choice([(1.0, 3.0), (0.2, 0.7), (0.2, 3.0)])
         elif kind == "flap":
@@ -277,6 +292,8 @@
             door.answers = {outcome: chance.uniform(0, 0.05) for outcome in ("silent", "lost", "spoilt")}
         elif kind == "resets":
             door.resets = chance.uniform(0.02, 0.2)
+        elif kind == "stalls":
+            door.stalls = chance.uniform(0.02, 0.2)
         else:
             door.stops = tuple((at, chance.uniform(0, 1), chance.random() < 0.5) for at in sorted(chance.sample(range(6, 30), 2)))
     return faults, door
--- a/tests/test_proxy_without_line.py
+++ b/tests/test_proxy_without_line.py
@@ -17,7 +17,8 @@
     "a mute proxy, lost acknowledgements": (Faults(mute=frozenset({7}), lost=0.05), DoorFaults()),
     "a deaf proxy, and calls without answers": (Faults(deaf=frozenset({7}), breaks=1), DoorFaults({"silent": 0.03, "lost": 0.03, "spoilt": 0.03})),
     "event streams that are reset": (Faults(breaks=3), DoorFaults(resets=0.2)),
-    **{f"drawn, seed {seed}": drawn(seed) for seed in (106, 136, 145)},   # two kills each, beside two or three other faults
+    "event streams that stall": (Faults(breaks=3, mute=frozenset({7})), DoorFaults(stalls=0.15)),
+    **{f"drawn, seed {seed}": drawn(seed) for seed in (212, 226, 242)},   # two stops each, beside two or three other faults
 }
 
 
