Failing test: lost acknowledgements hold back all later orders for good

After a stream that stalled was given up, the acks of three batches were lost with it; their lines counted as waiting, nothing fitted, so no later barrier went whose ack would have freed them.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -498,3 +498,12 @@
     stage.run(3)
     assert stage.brain.slices[0].mark == mark and stage.brain.slices[0].state == "revoking"
     assert "share,0,b,1" not in stage.orders(), "granted while nobody has acknowledged the revoke"
+
+
+def test_a_channel_whose_acknowledgements_were_lost_does_not_hold_orders_back_for_good():
+    """Room is freed by acks: where those are lost, with a stream or at their proxies, only signs of life tell that none is to come."""
+    family = {**SETTINGS["family_info"], "pending_max": 60.0}
+    stage = Stage(settings={**SETTINGS, "family_info": family}).run(2)
+    stage.agent.tell(listing(8, instance("a", "draining")))
+    stage.run(6)
+    assert "share,0,a,0" in stage.orders() and "share,2,a,0" in stage.orders(), "the drained owner's lines were never emptied"
