Room in the channel comes back when no acknowledgement is to come any more

Change: the door tells the module of each sign of life. Events come in order, so when a sign comes and no ack has been heard for twice the longest way and half a second, or twice what the newest acked order took, since the last batch and the beginning of the stream, nothing is left in the channel: one that still drained, however slowly, would be acked.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -163,8 +163,16 @@
         in_force_at = min(now, batch.ordered_at + took) if batch else now   # it took effect before it was heard
         if p and self.stops.on_ack(now, p, mark, in_force_at) and batch:
             batch.waiting -= batch.lines     # its message has left the channel
+            self.channel.newest_took = took
         self.channel.left_before(mark)
 
+    def on_sign(self, now: int, began: int) -> None:
+        """All acknowledgements up to now have been heard, in a stream of events that began at `began`. If there was none for so long,
+        none is to come: what was ordered has left the channel, and the acknowledgements were lost."""
+        silent = now - max(self.stops.heard_at, self.channel.sent_at, began)
+        if silent >= max(self.ack_within, ACK_WAYS * self.channel.newest_took):
+            self.channel.all_left()
+
     def on_met(self, now: int, endpoint: str, zone: str, tries: int, aborted: int, took: int,
                span: int) -> None:
         if endpoint in self.endpoints and tries > 0:
--- a/cedarshift/judge/order_channel.py
+++ b/cedarshift/judge/order_channel.py
@@ -1,7 +1,7 @@
 """When a batch of orders may go out, and how much it may hold, so that the channel to the proxies stays short. No I/O, no clock.
 
 A batch becomes one message a proxy; each counts its lines and a head. Messages leave one after the other at the stated pace, and a
-batch's lines wait in the channel until they are acknowledged, or a later batch is.
+batch's lines count as waiting until they are acknowledged, or a later batch is, or no acknowledgement is to come any more.
 """
 from __future__ import annotations
 
@@ -43,6 +43,7 @@
         self.unacknowledged: deque[Batch] = deque()   # oldest first
         self.sent_at = -math.inf             # when the last batch went out
         self.free_at = 0.0                   # when all that was ordered has left, at the stated pace
+        self.newest_took = 0                 # 0.1 ms; from an order to its effect, by the newest acknowledgement
         self.delay = 0.0                     # 0.1 ms; what a batch ordered now waits in the channel
 
     # ---- pace
@@ -105,3 +106,7 @@
         """The channel keeps order: batches before an acknowledged one have left it."""
         while self.unacknowledged and older(self.unacknowledged[0].barrier, barrier):
             self.unacknowledged.popleft()
+
+    def all_left(self) -> None:
+        """Nothing waits: a channel that still held messages would go on to deliver them, however slowly, and be acknowledged."""
+        self.unacknowledged.clear()
--- a/cedarshift/platform/relay.py
+++ b/cedarshift/platform/relay.py
@@ -188,6 +188,7 @@
 
     def on_standing(self, proxies: dict[int, str], slices: dict[int, str], silent: int, asked: int) -> None: ...
     def on_settled(self) -> None: ...
+    def on_sign(self, began: int) -> None: ...
     def on_join(self, proxy: int, zone: str) -> None: ...
     def on_leave(self, proxy: int) -> None: ...
     def on_ack(self, proxy: int, mark: int, latency: int) -> None: ...
@@ -239,11 +240,15 @@
         self.counts["streams"] += 1
         stream = news.EventStream()
         yield from self._stand(followed, stream)
-        settled = False
+        began = self.heard_at
+        settled, signs = False, 0
         while True:
             if not settled and stream.signs:
                 settled = True
                 self.hearer.on_settled()
+            if stream.signs > signs:
+                signs = stream.signs
+                self.hearer.on_sign(began)
             piece = yield from self._piece(followed, SILENCE_MOST)
             self.heard_at = self.loop.now()
             self._pass_on(stream, piece, self.hearer)
--- a/cedarshift/platform/service.py
+++ b/cedarshift/platform/service.py
@@ -198,6 +198,11 @@
         for slice_id in sorted(self.missing_slices):
             self.on_taken(slice_id)
 
+    def on_sign(self, began: int) -> None:
+        """A sign of life came, in a stream of events that began at `began`: all that the relay had to tell has been heard."""
+        self.brain.on_sign(self._now(), self._now() - units.down(self.loop.now() - began, UNIT))
+        self._pull()
+
     def _newer(self, slice_id: int, asked: int) -> bool:
         """Whether an order for a slice was taken since a stream was asked for, whose lines may then be those of before."""
         return slice_id in self.slices and self.taken_at.get(slice_id, asked - 1) >= asked
