--- a/cedarshift/standins/proxy_fleet.py
+++ b/cedarshift/standins/proxy_fleet.py
@@ -18,12 +18,22 @@
 READS_WITHIN = (1_000, 5_000)   # 0.1 ms; from joining to the store's tables; the page says within a second
 NEVER = 10 ** 12          # 0.1 ms; after any time
 DEAF_FROM = 2 * SECOND    # when the streams of deaf proxies break
+LONG_GAP = 10 * SECOND    # 0.1 ms without a line from which each case is kept
 READ_AGAIN = 200          # 0.1 ms; how often a message that waits for the store's tables is looked at
 
 Tell = Callable[..., None]
 Order = tuple[Any, ...]
 
 
+class Gap(NamedTuple):
+    """A time in which a joined proxy had no line for a slice, in s."""
+
+    proxy: int
+    slice_id: int
+    since: float
+    until: float
+
+
 class Conflict(NamedTuple):
     """A proxy could write to an owner while writes to others were possible or in hand."""
 
@@ -85,6 +95,7 @@
         self.ended: dict[tuple[int, str], int] = {}   # (slice, owner) -> when the last proxy could write there
         self.without: dict[tuple[int, int], int] = {}   # (proxy, slice) -> since when it has no line
         self.longest, self.longest_of = 0, (0, 0, 0.0)   # (proxy, slice, since)
+        self.gaps: list[Gap] = []            # those of LONG_GAP and more
         self.closed_since: dict[int, int] = {}
         self.closed_spans: list[int] = []
         self.conflicts: list[Conflict] = []
@@ -275,6 +286,8 @@
 
     def _fill(self, number: int, at: int) -> None:
         since = self.without.pop((number, at), None)
+        if since is not None and self.now - since >= LONG_GAP:
+            self.gaps.append(Gap(number, at, since / SECOND, self.now / SECOND))
         if since is not None and self.now - since > self.longest:
             self.longest, self.longest_of = self.now - since, (number, at, since / SECOND)
 
