--- a/tests/spenders.py
+++ b/tests/spenders.py
@@ -55,7 +55,9 @@
 
 
 class Spenders:
-    def __init__(self, folder, pilots=3, spenders=4, whole=WHOLE, floor=2, wishes=30.0, lease=LEASE, proxy_lease=PROXY_LEASE, text=TEXT):
+    def __init__(self, folder, pilots=3, spenders=4, whole=WHOLE, floor=2, wishes=30.0, lease=LEASE, proxy_lease=PROXY_LEASE, text=TEXT,
+                 homes=None):
+        """`homes`: by spender the pilots that it may join; all where it is not named."""
         self.folder, self.whole, self.floor = folder, whole, floor
         self.names = [f"p{n}" for n in range(pilots)]
         self.spenders = [f"x{n}" for n in range(spenders)]
@@ -84,7 +86,7 @@
             self.start(name)
         for x in self.spenders:
             plan = {"name": x, "address": ("127.0.0.1", self.at[x]), "deployment": "spend", "secret": "a secret of sixteen",
-                    "pilots": {p: ("127.0.0.1", self.doors[f"{x}>{p}"][0]) for p in self.names}, "wishes": {"retries": wishes}}
+                    "pilots": {p: ("127.0.0.1", self.doors[f"{x}>{p}"][0]) for p in (homes or {}).get(x, self.names)}, "wishes": {"retries": wishes}}
             (folder / f"{x}.json").write_text(json.dumps(plan))
             self.start(x)
 
--- a/tests/test_spenders.py
+++ b/tests/test_spenders.py
@@ -114,7 +114,7 @@
 
 @pytest.mark.parametrize("way", ["there", "back"])
 def test_a_cut_between_a_pilot_and_the_store_one_way(make, way):
-    s = make()
+    s = make(homes={"x0": ["p0"], "x1": ["p0"], "x2": ["p1"], "x3": ["p2"]})   # all at p0, the cut would be of all of them
     s.way("p0", way, "drop")
     time.sleep(2.5 * LEASE)
     s.until_rate(USED * 0.5, SOON)
