The store logs which pilot a claim passes to

Cause: when a claim of a cold endpoint reaches its pilot late, no log told whether the store granted it late or the pilot took it late. Change: event claim_holder (endpoint, before, after, at_us) at the store, for grants, releases and ends.

--- a/cedarshift/budgets/desk.py
+++ b/cedarshift/budgets/desk.py
@@ -63,6 +63,7 @@
         self.waiting: list[tuple[Link, str, m.Message]] = []
         self.asks_since_cleanup = 0
         self.logged_amounts: dict[Key, int] = {}  # amounts in the last log events
+        self.logged_claims: dict[str, str] = {}  # endpoint -> pilot in the last log events
         if claims_enabled:
             ledger.put([Row(*CLAIMS_KEY, 0, 0, self.claims_duration)])
         report(
@@ -127,6 +128,7 @@
                         ),
                     )
                 )
+        self._log_claims(now)
         if rows:
             self.ledger.put(rows.values())
             self.stored_keys.update(rows)
@@ -169,6 +171,17 @@
             whole=self.grantor.plan.leasable(key[0]),
         )
 
+    def _log_claims(self, now: int) -> None:
+        """Logs the claims whose holder has changed."""
+        holders = {
+            endpoint: lease.holder for endpoint, lease in self.claims.leases.items() if lease.until > now
+        }
+        for endpoint in sorted(holders.keys() | self.logged_claims.keys()):
+            before, after = self.logged_claims.get(endpoint, ""), holders.get(endpoint, "")
+            if before != after:
+                self.report("claim_holder", endpoint=endpoint, before=before, after=after, at_us=now)
+        self.logged_claims = holders
+
     def shown(self) -> bytes:
         return msgspec.json.encode(
             {
