A pilot uses a claimed cold endpoint as soon as the store's answer is there

What callers saw: a cold endpoint that one pilot had given up was granted to another, which did not warm it until its next event, up to half of report_every later (1 s as configured by default); its status page named the claim meanwhile. Cause: DecisionBudgets.on_answer stored the claims and left it to the next pull of decisions to pass them to the module. Change: an answer that changes the budgets is passed to the module at once, and its decisions are pulled; the same for the share of moves. FleetAccess has a callback for it. Why it works: what the status page shows and what the module may use now change in one step of the loop.

--- a/cedarshift/budgets/rights.py
+++ b/cedarshift/budgets/rights.py
@@ -18,13 +18,17 @@
 
 
 class FleetAccess(NamedTuple):
-    """Callbacks into the pilot's service; `publish` passes the budgets to the decision module."""
+    """Callbacks into the pilot's service.
+
+    `publish` passes the budgets to the decision module; `decide` pulls the decisions that it makes on them.
+    """
 
     cold_endpoints: Callable[[], list[str]]
     moves_in_flight: Callable[[], int]
     has_slices: Callable[[], bool]
     live_pilots: Callable[[], list[str]]
     publish: Callable[[dict[str, float]], None]
+    decide: Callable[[], None]
 
 
 class DecisionBudgets:
@@ -92,8 +96,11 @@
         return any(resource not in self.holder.since for resource in resources)
 
     def on_answer(self, now: int, number: int, claims: list[Claim]) -> None:
+        """Takes in the claims of an answer and lets the decision module use them at once."""
         self.holder.on_answer(now, number, claims)
         self.next_check_at = -1
+        if self.publish_changes(now):
+            self.fleet.decide()
 
     def lost(self) -> None:
         self.holder.lost()
@@ -108,20 +115,22 @@
         in_flight = self.fleet.moves_in_flight()
         return max(in_flight + EXTRA_MOVES, MOVES_FACTOR * in_flight)
 
-    def publish_changes(self, now: int) -> None:
-        """Passes the current budgets to the module if they have changed."""
+    def publish_changes(self, now: int) -> bool:
+        """Passes the current budgets to the module if they have changed; returns whether they have."""
         if 0 <= now < self.next_check_at:
-            return
+            return False
         held = self.holder.held(now)
         moves, moves_end = self.moves_grant(now) if self.moves_budget else (math.inf, 1 << 62)
         self.next_check_at = min(self.holder.next_end(), moves_end) if held else moves_end
         budgets: dict[str, float] = {"": moves, **dict.fromkeys(sorted(held), 1.0)}
         if self.claims:
             budgets["*"] = 0.0
-        if budgets != self.published:
-            self._log(now, budgets)
-            self.published = budgets
-            self.fleet.publish(budgets)
+        if budgets == self.published:
+            return False
+        self._log(now, budgets)
+        self.published = budgets
+        self.fleet.publish(budgets)
+        return True
 
     def _log(self, now: int, budgets: dict[str, float]) -> None:
         taken, ended = (
--- a/cedarshift/pilot/rights.py
+++ b/cedarshift/pilot/rights.py
@@ -37,5 +37,6 @@
         lambda: bool(service.slices),
         live_pilots,
         lambda rights: brain.on_budgets(service._now_ticks(), rights),
+        service._pull_decisions,
     )
     service.budgets.attach_decision_budgets(service.name, plan.clock_drift, plan.claim_cold, fleet)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -28,9 +28,13 @@
 DRIFT = 0.05
 
 
-def decision_budgets(claims=True, budget="", cold=("e",), moves=0, charge=True, right=(0, 1 << 60)):
+def decision_budgets(
+    claims=True, budget="", cold=("e",), moves=0, charge=True, right=(0, 1 << 60), decide=lambda: None
+):
     published = []
-    fleet = FleetAccess(lambda: list(cold), lambda: moves, lambda: charge, lambda: ["p0"], published.append)
+    fleet = FleetAccess(
+        lambda: list(cold), lambda: moves, lambda: charge, lambda: ["p0"], published.append, decide
+    )
     budgets = DecisionBudgets("p0", DRIFT, LEASE // 4, claims, budget, fleet, lambda *a, **k: None)
     budgets.moves_grant = lambda now: right
     return budgets, published
@@ -250,6 +254,18 @@
     assert published[-1] == {"": math.inf, "*": 0.0}
 
 
+# The answer was shown as a held claim, and the module knew of it only at its next event, up to a second later.
+def test_the_module_decides_on_a_claim_as_soon_as_it_is_answered():
+    decided_on = []
+    budgets, published = decision_budgets(decide=lambda: decided_on.append(published[-1]))
+    budgets.claim_requests(0, 1)
+    budgets.on_answer(10, 1, [Claim("e", LEASE)])
+    assert decided_on == [{"": math.inf, "*": 0.0, "e": 1.0}]
+    budgets.claim_requests(20, 2)
+    budgets.on_answer(30, 2, [Claim("e", LEASE)])
+    assert len(decided_on) == 1  # a renewal changes nothing
+
+
 def test_who_has_no_slices_claims_nothing_and_gives_up_what_it_had():
     budgets, published = decision_budgets()
     budgets.claim_requests(0, 1)
