--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -254,7 +254,7 @@
     assert published[-1] == {"": math.inf, "*": 0.0}
 
 
-# The answer was shown as a held claim, and the module knew of it only at its next event, up to a second later.
+# An answered claim was shown as held while the module did not know of it before its next event.
 def test_the_module_decides_on_a_claim_as_soon_as_it_is_answered():
     decided_on = []
     budgets, published = decision_budgets(decide=lambda: decided_on.append(published[-1]))
