Membership follows from the set of records, whatever their order

What callers saw: two pilots that had received the same records could hold different ones; a report about a member's present life was lost at one of them, so a dead pilot was found later there. Cause: an observer's edges were ordered by its own life and counter and dropped by the subject's life, so the edge that won could be the one that a word drops, and with the word first the other one stayed. Two more of the kind: a word of having left dropped edges to the next life too, and a pilot's own verdict replaced one about a later life. Change: edges are ordered by the subject's life first; one function says which lives a word ends, for edges and verdicts; own verdicts are merged like others; a record about a life also shows that life's word, without which an edge whose word was lost with its last holder would outrank all reports about the known life. Why it works: what a word drops is always a lower end of the one order by which records win.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	$(BIN)/python -m benchmarks.handover
 	$(BIN)/python -m benchmarks.footprint
 	$(BIN)/python -m benchmarks.lending
+	$(BIN)/python -m benchmarks.member_merge
 
 check: setup
 	$(BIN)/ruff format --check .
--- a/cedarshift/gossip/member.py
+++ b/cedarshift/gossip/member.py
@@ -603,6 +603,7 @@
         for observation in body.observations:
             if observation.observer == self.me:
                 continue  # own observations are never taken from others
+            self._merge_life(now, observation.subject, observation.start, observation.incarnation)
             edge = Edge(
                 observation.observer_start,
                 observation.seq,
@@ -617,6 +618,7 @@
         for rider in body.riders:
             self._merge_rider(now, rider)
         for one in body.verdicts:
+            self._merge_life(now, one.name, one.start, one.incarnation)
             verdict = Verdict(one.start, one.incarnation, one.side)
             if table.merge_verdict(one.name, verdict):
                 self._enqueue(("v", one.name))
@@ -640,6 +642,16 @@
                 self.detector.subjects[record.name].missed.clear()
                 self.detector.subjects[record.name].silent = False
 
+    def _merge_life(self, now: int, name: str, start: int, incarnation: int) -> None:
+        """Merge the word that a record about a member's life shows: who made the record had received it.
+
+        Without it a record about a later life, whose word was lost with its last holder, would outrank all
+        records about the life known here.
+        """
+        word = self.table.words.get(name)
+        if word is None or (start, incarnation) > (word.start, word.incarnation):
+            self._merge_word(now, MemberRecord(name, start, False, incarnation))
+
     def _merge_own_word(self, word: Word) -> None:
         """Merge a record about this member's own name, from this life or another one."""
         if word.start > self.start or (word.start == self.start and word.left and not self.left):
--- a/cedarshift/judge/roll.py
+++ b/cedarshift/judge/roll.py
@@ -57,7 +57,8 @@
 
 
 class Edge(NamedTuple):
-    """Whether an observer hears a subject; ordered by the observer's start, then by its counter `seq`.
+    """Whether an observer hears a subject; ordered by the subject's life, then by the observer's start and
+    its counter `seq`.
 
     `at`: when the answered probe was sent, or when the silence was found (us, this clock; derived from the
     age stated when the edge was first received).
@@ -71,6 +72,15 @@
     start: int
     incarnation: int
 
+    @property
+    def rank(self) -> tuple[int, int, int, int]:
+        """The order of an observer's edges to one subject.
+
+        The life comes first because a word drops the edges to earlier lives: an edge that outranks another
+        outlives it too, so it does not matter when the word arrives.
+        """
+        return self.start, self.incarnation, self.observer_start, self.seq
+
 
 class Verdict(NamedTuple):
     """That a member is dead. `side`: how many members were on the side that agreed.
@@ -184,7 +194,7 @@
         self._toggle_digest(name, word)
         self.words[name] = word
         verdict = self.verdicts.get(name)
-        if verdict is not None and self._answers_verdict(verdict, word):
+        if verdict is not None and self._ends_life(name, verdict.start, verdict.incarnation):
             self._toggle_digest(name, self.verdicts.pop(name))
         self.minority_verdicts.pop(name, None)
         self.needs_update = True
@@ -195,10 +205,9 @@
         if observer not in self.states or subject not in self.states or observer == subject:
             return False
         known = self.edges.get(subject, {}).get(observer)
-        word = self.words.get(subject)
-        if (known is not None and edge[:2] <= known[:2]) or (
-            word is not None and (edge.start, edge.incarnation) < (word.start, word.incarnation)
-        ):
+        if known is not None and edge.rank <= known.rank:
+            return False
+        if self._ends_life(subject, edge.start, edge.incarnation):
             return False
         self.edges.setdefault(subject, {})[observer] = edge
         if not edge.hears and (known is None or known.hears or known[4:] != edge[4:]):
@@ -208,14 +217,14 @@
 
     def merge_verdict(self, name: str, verdict: Verdict) -> bool:
         """Merge a verdict that a majority agreed on; return whether it was news."""
-        word, known = self.words.get(name), self.verdicts.get(name)
+        known = self.verdicts.get(name)
         if (
             name not in self.states
             or 2 * verdict.side <= len(self.names)
             or (known is not None and verdict <= known)
         ):
             return False
-        if word is not None and self._answers_verdict(verdict, word):
+        if self._ends_life(name, verdict.start, verdict.incarnation):
             return False
         self._toggle_digest(name, known)
         self._toggle_digest(name, verdict)
@@ -223,10 +232,14 @@
         self.needs_update = True
         return True
 
-    @staticmethod
-    def _answers_verdict(verdict: Verdict, word: Word) -> bool:
-        """Whether a word invalidates a verdict: by a later life or incarnation, or by having left."""
-        return verdict[:2] < (word.start, word.incarnation) or (word.left and verdict.start <= word.start)
+    def _ends_life(self, name: str, start: int, incarnation: int) -> bool:
+        """Whether a member's word invalidates records of a life of it: by a later life or incarnation, or by
+        having left.
+        """
+        word = self.words.get(name)
+        if word is None:
+            return False
+        return (start, incarnation) < (word.start, word.incarnation) or (word.left and start <= word.start)
 
     def dead(self, name: str) -> Optional[Verdict]:
         """Return the verdict that a member is dead, if one is in force; a majority's takes precedence."""
@@ -435,9 +448,7 @@
                 agreed, side = False, len(self.names) // 2
             verdict = Verdict(word.start, word.incarnation, side)
             if agreed:
-                self._toggle_digest(name, self.verdicts.get(name))
-                self._toggle_digest(name, verdict)
-                self.verdicts[name] = verdict
+                self.merge_verdict(name, verdict)
             else:
                 self.minority_verdicts[name] = verdict
         else:
@@ -488,14 +499,11 @@
     def _drop_outdated_edges(self) -> None:
         """Drop edges that a newer word invalidates for good."""
         for subject in list(self.edges):
-            word = self.words.get(subject)
             remaining = {
-                o: e
-                for o, e in self.edges[subject].items()
-                if word is None or (e.start, e.incarnation) >= (word.start, word.incarnation)
+                observer: edge
+                for observer, edge in self.edges[subject].items()
+                if not self._ends_life(subject, edge.start, edge.incarnation)
             }
-            if word is not None and word.left:
-                remaining = {}
             if remaining:
                 self.edges[subject] = remaining
             else:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,5 +1,6 @@
 """Tests the member table, the detector, the message codec and simulated fleets on a virtual clock."""
 
+import itertools
 import random
 
 import pytest
@@ -80,6 +81,87 @@
     assert merge_records(records) == merge_records(mixed)
 
 
+# A word that came between two edges dropped the one that should have outlived the other.
+EARLIER_LIFE = [
+    ("word", "c", Word(1, False, 1)),
+    ("edge", "b", "c", Edge(3, 1, 0, 0, False, 0, 0)),
+    ("edge", "b", "c", Edge(0, 3, 0, 0, False, 2, 2)),
+]
+# A word of having left dropped an edge to the member's next life.
+NEXT_LIFE = [
+    ("word", "c", Word(1, True, 0)),
+    ("edge", "b", "c", Edge(1, 1, 0, 0, False, 2, 0)),
+    ("word", "c", Word(2, False, 0)),
+]
+SMALL_SETS = 1_500
+LARGE_SETS = 500
+ORDERS_OF_A_LARGE_SET = 6
+
+
+def merge_with_drops(records, drops):
+    """Merges records; `drops` says after which of them the table is cleared of outdated edges."""
+    table = MemberTable("a", NAMES, SECOND)
+    for record, drop in zip(records, drops):
+        kind, *content = record
+        if kind == "word":
+            table.merge_word(*content)
+        elif kind == "verdict":
+            table.merge_verdict(*content)
+        else:
+            table.merge_edge(0, *content)
+        if drop:
+            table._drop_outdated_edges()
+    table._drop_outdated_edges()
+    return table.words, table.edges, table.verdicts, table.digest
+
+
+def draw_record(draw, names):
+    kind = draw.choice(["word", "edge", "edge", "edge", "verdict"])
+    name, life, incarnation = draw.choice(names), draw.randrange(3), draw.randrange(3)
+    if kind == "word":
+        return kind, name, Word(life, draw.random() < 0.3, incarnation)
+    if kind == "verdict":
+        return kind, name, Verdict(life, incarnation, draw.randrange(3, 6))
+    observer = draw.choice([one for one in names if one != name])
+    start, seq = draw.randrange(3), draw.randrange(3)
+    content = random.Random(f"{observer} {name} {start} {seq}")  # one number, one content
+    return (
+        kind,
+        observer,
+        name,
+        Edge(start, seq, 0, content.randrange(3), content.random() < 0.5, *content.choices(range(3), k=2)),
+    )
+
+
+def check_every_order(records):
+    wanted = merge_with_drops(records, [False] * len(records))
+    for order in itertools.permutations(records):
+        for drops in itertools.product([False, True], repeat=len(records)):
+            assert merge_with_drops(order, drops) == wanted, (order, drops)
+
+
+@pytest.mark.parametrize("records", [EARLIER_LIFE, NEXT_LIFE])
+def test_a_word_between_two_records_loses_neither(records):
+    check_every_order(records)
+
+
+def test_every_order_of_a_small_set_ends_the_same_with_drops_anywhere():
+    draw = random.Random(44)
+    for _ in range(SMALL_SETS):
+        check_every_order([draw_record(draw, "bc") for _ in range(draw.randint(2, 3))])
+
+
+def test_drawn_orders_of_a_large_set_end_the_same_with_drops_anywhere():
+    draw = random.Random(45)
+    for _ in range(LARGE_SETS):
+        records = [draw_record(draw, NAMES) for _ in range(draw.randint(4, 60))]
+        wanted = merge_with_drops(records, [False] * len(records))
+        for _ in range(ORDERS_OF_A_LARGE_SET):
+            order = records + draw.choices(records, k=draw.randrange(len(records)))
+            draw.shuffle(order)
+            assert merge_with_drops(order, [draw.random() < 0.3 for _ in order]) == wanted
+
+
 @settings(max_examples=200, deadline=None)
 @given(st.lists(record, max_size=20), st.lists(record, max_size=20))
 def test_nothing_older_undoes_what_is_newer(first, later):
