Required orders wait only for room that acknowledgements can bring

Cause: OrderChannel.must_wait_for_acks postponed overdue lines until acknowledgements made room for all of them, and ended when few lines were unacknowledged; by then 34 lines had room, not the 44 that were due, so the wait saved no batch. Change: lines that a rule requires wait only until an even part of them fits, in the fewest batches that can carry them all, with the room at which the wait ends. Why it works: a batch that could not carry everything at the end of the wait loses nothing by going out earlier.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -895,7 +895,13 @@
         self.candidates = None
         channel.estimate_delay(now, joined, self.leaving)
         due = self._due(now)
-        if channel.must_wait_for_acks(now, joined, self._line_count_due(due), self.stops.last_ack_heard_at):
+        if channel.must_wait_for_acks(
+            now,
+            joined,
+            1 + self._line_count_due(due, max_urgency=1),
+            self._line_count_due(due, max_urgency=0),
+            self.stops.last_ack_heard_at,
+        ):
             self.counts.waits_for_acks += 1
             return
         if now - channel.sent_at >= 2 * channel.min_interval:  # keeps moves from delaying a drain
@@ -938,10 +944,12 @@
             asked = (self.proxies[number] for number in self.unmarked_proxies)
         return any(self.stops.proxy_stop_time(proxy, s) is None for proxy in asked for s in revoked)
 
-    def _line_count_due(self, due: list[tuple]) -> int:
-        """Lines per proxy of a batch with all steps of urgency 0 and 1, its mark included."""
-        return 1 + sum(
-            self._line_count(step, self.slices[number]) for urgency, number, step, _ in due if urgency <= 1
+    def _line_count_due(self, due: list[tuple], max_urgency: int) -> int:
+        """Lines per proxy of all steps up to an urgency, without a mark."""
+        return sum(
+            self._line_count(step, self.slices[number])
+            for urgency, number, step, _ in due
+            if urgency <= max_urgency
         )
 
     def _line_count(self, step: str, s: Slice) -> int:
--- a/cedarshift/judge/order_channel.py
+++ b/cedarshift/judge/order_channel.py
@@ -101,18 +101,31 @@
         """Whether a barrier without lines may be sent; it needs as much room as a grant."""
         return self.waiting() + joined * self.header_lines <= WAITING_SHARES[1] * self.max_waiting
 
-    def must_wait_for_acks(self, now: int, joined: int, lines: int, last_ack_heard_at: int) -> bool:
+    def must_wait_for_acks(
+        self, now: int, joined: int, lines: int, required: int, last_ack_heard_at: int
+    ) -> bool:
         """Whether to postpone a batch of `lines` lines until acknowledgements make room for all of it.
 
         Applies only while acknowledgements arrive, the newest at `last_ack_heard_at`. Without the wait, a
         channel slower than configured fills with the headers of small batches, which delays drains.
+
+        Of `lines`, a rule requires `required`. What is not acknowledged may have left the channel long ago,
+        so these wait only until there is room for an even part of them in the fewest batches that can carry
+        them all: with the room at which the wait ends, as no batch gets more by waiting.
         """
-        waiting = self.waiting()
-        return (
-            waiting > GATHER_SHARE * self.max_waiting
-            and now - last_ack_heard_at < MAX_ACK_PAUSE
-            and waiting + joined * (self.header_lines + lines) > WAITING_SHARES[1] * self.max_waiting
-        )
+        waiting, few_waiting = self.waiting(), GATHER_SHARE * self.max_waiting
+        if (
+            waiting <= few_waiting
+            or now - last_ack_heard_at >= MAX_ACK_PAUSE
+            or waiting + joined * (self.header_lines + lines) <= WAITING_SHARES[1] * self.max_waiting
+        ):
+            return False
+        fewest_batches = math.ceil(required / max(1.0, self._batch_room(joined, few_waiting)))
+        return fewest_batches <= 1 or self._batch_room(joined, waiting) < required / fewest_batches
+
+    def _batch_room(self, joined: int, waiting: float) -> float:
+        """Lines per proxy that a batch of required steps may have while others wait."""
+        return (WAITING_SHARES[0] * self.max_waiting - waiting) / max(1, joined) - self.header_lines
 
     # ---- batches
 
