A connection reset by a killed pilot fails no task of the scripted services

Cause: a process that is killed with unread bytes resets its connections; the scripted discovery service and the scripted relay's unanswered call let the StreamBroken end their tasks. The stand-in's fault, not the product's. Change: both end such a talk as they end a closed one. What counts as a failure is unchanged.

--- a/tests/platform_parts.py
+++ b/tests/platform_parts.py
@@ -150,7 +150,7 @@
         except (StreamBroken, TimedOut, h11.ProtocolError):
             stream.close()
         except TimeoutError:
-            yield from stream.read()
+            yield from read_to_the_end(stream)
 
     def _request(self, stream, conn):
         head, body = None, b""
@@ -191,6 +191,14 @@
         )
 
 
+def read_to_the_end(stream):
+    """Waits until the peer closes or resets the connection."""
+    try:
+        yield from stream.read()
+    except StreamBroken:
+        pass
+
+
 class ListAgent:
     """A discovery service: each watch receives `initial_lists`, then whatever is published."""
 
@@ -210,6 +218,12 @@
             self.loop.spawn(self._talk(stream), "agent connection")
 
     def _talk(self, stream):
+        try:
+            yield from self._serve(stream)
+        except StreamBroken:  # reset by the pilot's end
+            stream.close()
+
+    def _serve(self, stream):
         conn = h11.Connection(h11.SERVER)
         while not isinstance(event := conn.next_event(), h11.EndOfMessage):
             if isinstance(event, h11.Request):
