Processes under test get ports that nothing else is given meanwhile

What was seen: 'not all came up within 120 periods: p1: {}' (test_pilots), probably the claims test of a store that comes back, and others, when two test runs share a machine. Cause: free_ports and free_address drew ports from the system and gave them back; until the process under test bound one, the system could give it to another run's server or outgoing connection. Change: tests/ports.py hands out ports below that range, in blocks held while the test process runs, as rehearsals do. That the claims test failed by this cause is not shown by a run.

--- a/tests/pilots.py
+++ b/tests/pilots.py
@@ -3,12 +3,13 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
 import urllib.request
 
+from ports import free_ports
+
 PERIOD_S = 0.25  # s
 SHIFTED_CLOCK_PROGRAM = """
 import sys, time
@@ -34,25 +35,6 @@
 """
 
 
-def free_ports(count):
-    """Returns ports that are free for TCP and UDP."""
-    opened, ports = [], []
-    while len(ports) < count:
-        stream = socket.socket()
-        stream.bind(("127.0.0.1", 0))
-        port = stream.getsockname()[1]
-        datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        opened += [stream, datagram]
-        try:
-            datagram.bind(("127.0.0.1", port))
-        except OSError:
-            continue
-        ports.append(port)
-    for one in opened:
-        one.close()
-    return ports
-
-
 class PilotProcesses:
     """A set of pilot processes, connected by one relay."""
 
--- a/tests/spenders.py
+++ b/tests/spenders.py
@@ -8,7 +8,7 @@
 import time
 import urllib.request
 
-from pilots import free_ports
+from ports import free_ports
 
 from cedarshift.rehearsal.rules import beyond_rate
 
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -12,6 +12,7 @@
 
 import pytest
 from platform_parts import SETTINGS, configuration
+from ports import free_address
 from scripted_peers import (
     CHUNKED,
     TIMEOUT_S,
@@ -48,12 +49,6 @@
         pass
 
 
-def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()
-
-
 class Process:
     """A pilot process with a scripted relay and discovery service."""
 
--- a/tests/test_pilots.py
+++ b/tests/test_pilots.py
@@ -9,7 +9,8 @@
 import time
 
 import pytest
-from pilots import PERIOD_S, PilotProcesses, free_ports
+from pilots import PERIOD_S, PilotProcesses
+from ports import free_ports
 
 DETECTION_PERIODS = 40  # periods until all others consider a killed pilot dead
 RECOVERY_PERIODS = 60  # periods until all consider each other alive after the last fault
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -11,7 +11,7 @@
 import urllib.request
 
 import pytest
-from pilots import free_ports
+from ports import free_ports
 
 RATE = 60.0  # ops a second
 TEXT = """
