--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -39,42 +39,52 @@
 )
 
 # Durations are in units of 0.1 ms. Shares are fractions of 1.
-POLL_INTERVAL = 250  # from a decision round to its "wake"
-ESTIMATE_INTERVAL = 2_000  # longest time between two updates of the estimates
-MIN_CHECK_INTERVAL = 20_000  # between two checks of the rebalancer
+POLL_INTERVAL = 250  # from a decision round to its "wake"; small beside any lease or grace
+# Longest time between two updates of the estimates; rates and warmth change more slowly.
+ESTIMATE_INTERVAL = 2_000
+MIN_CHECK_INTERVAL = 20_000  # between two checks of the rebalancer; jams grow within seconds
 HOT_MARGIN = 0.2  # excess over the mean load or the fair share at which an endpoint counts as hot
 MIN_HOT_CHECKS = 2  # consecutive checks, so that a single late report moves nothing
 MIN_MOVES_PER_CHECK = 2
-ENDPOINTS_PER_MOVE = 8  # larger fleets allow one move per check for this many endpoints
+# Larger fleets allow one move per check for this many endpoints; hot slices come several at a time.
+ENDPOINTS_PER_MOVE = 8
 MAX_MOVES_PER_SOURCE = 2  # per check and hot endpoint; reports lag behind, and more would overshoot
 STRAINED_ABORT_SHARE = 0.08  # of ops, above the median endpoint's share
-STRAINED_LATENCY_SHARE = 0.4  # of the lowest target latency
-MAX_REPORT_DELAY = 15_000  # after the end of the reported period
-WINDOW_REPORTS = 4  # report periods in the sample window
-MIN_WINDOW = 40_000  # length of the sample window where report periods are short
-MIN_SPEED_SAMPLES = 4  # samples with acked ops, to measure an endpoint's speed
-MAX_SPEED_RATIO = 2.0  # of an endpoint's speed to the median, in either direction
-MIN_PATH_OPS = 40  # in the window, to compare a path between two zones with others
-PATH_LOSS_SHARE = 0.2  # of ops, above the loss on the best path to the zone
+STRAINED_LATENCY_SHARE = 0.4  # of the lowest target latency; below it a hot endpoint still acks in time
+# After the end of the reported period; a period that began sooner after a move tells of before it.
+MAX_REPORT_DELAY = 15_000
+WINDOW_REPORTS = 4  # report periods in the sample window; fewer are noise, more are late
+MIN_WINDOW = 40_000  # length of the sample window where report periods are short; less time holds too few ops
+MIN_SPEED_SAMPLES = 4  # samples with acked ops, to measure an endpoint's speed; fewer say little
+MAX_SPEED_RATIO = 2.0  # of an endpoint's speed to the median, in either direction; more is chance or a queue
+MIN_PATH_OPS = 40  # in the window, to compare a path between two zones with others; what fewer say is chance
+# Of ops, above the loss on the best path to the zone; less is chance in a few dozen ops.
+PATH_LOSS_SHARE = 0.2
 PATH_DELAY_SHARE = 0.3  # of the lowest target latency, above the delay on the best path to the zone
-SICK_ABORT_SHARE = 0.75  # of an endpoint's ops
-MIN_SICK_OPS = 12  # in the newest samples, to detect an endpoint as sick
+SICK_ABORT_SHARE = 0.75  # of an endpoint's ops; one that loses a third of its ops seldom reaches it by chance
+# In the newest samples, to detect an endpoint as sick; fewer tell nothing of a share, and each
+# endpoint is judged again and again.
+MIN_SICK_OPS = 12
 MAX_SICK_SHARE = 0.34  # of endpoints; more failures at once have a common cause elsewhere
 SICK_LATENCY_SHARE = 0.7  # of the lowest target latency; slower acks point to overload instead
 SICK_PERIOD = 150_000  # of the first detection; doubles with each further one, up to eightfold
-COLD_INITIAL_SHARE = 0.5  # of a cold endpoint's budget, until it has gained a slice
+# Of a cold endpoint's budget, until it has gained a slice; its speed shows only in its reports.
+COLD_INITIAL_SHARE = 0.5
 FULL_BUDGET_ACK_RATIO = 1.75  # acked ops times `tip_multiple`, per op received, for full cold budgets
-MIN_BUDGET_SCALE = 0.1  # factor on cold budgets while few ops are acked
+# Factor on cold budgets while few ops are acked; reports that arrive apart in time must not shrink a
+# budget to nothing.
+MIN_BUDGET_SCALE = 0.1
 COLD_LOAD_SHARE = 0.6  # budget of a cold endpoint, as a share of the load at which it tips
-LEVEL_STEP = 0.05  # raises the admission level per check
+LEVEL_STEP = 0.05  # raises the admission level per check; full again within some ten checks
 LEVEL_BACKOFF = 0.85  # multiplies the admission level per check under overload
-MIN_LEVEL = 0.6  # lowest admission level under overload
+MIN_LEVEL = 0.6  # lowest admission level under overload; deeper cuts reject ops that would be acked
 OVERLOAD_LATENCY_SHARE = 0.7  # of the lowest target latency, at the median endpoint
 MIN_LIST_RETRY = 10_000  # before an unavailable list is requested again; doubles up to a limit
 LIST_RENEWAL_WAITS = 8  # time from a list to the next request, as a multiple of the longest retry delay
 ALL_OP_TYPES = 0  # mask
 ALL_TABLES = 65535  # table number
-ENDPOINT_RETENTION = 600_000  # of the state of an endpoint that left the list
+# Of the state of an endpoint that left the list; longer than a machine takes to restart.
+ENDPOINT_RETENTION = 600_000
 HAND_OVER_TIMEOUT_DIVISOR = 2  # the other half of `empty_for` is for delivery to the proxies
 ACK_TIMEOUT_TRANSITS = 2  # transit times of silence after which no acknowledgement is outstanding
 MARK_MODULUS = BARRIER_MODULUS
@@ -159,7 +169,7 @@
         other kind is an update of the named entries.
         """
         self.wake_pending = self.inputs_changed = True
-        if kind == "unavailable":  # keeps the last known list
+        if kind == "unavailable":  # an unreachable list is not an empty one: keeps the last known
             self.next_list_request_at, self.list_retry_delay = (
                 now + self.list_retry_delay,
                 min(self.max_list_retry, 2 * self.list_retry_delay),
@@ -174,7 +184,7 @@
             known = self.endpoints.setdefault(e.endpoint, Endpoint(e.endpoint))
             self._set_phase(known, e.phase, now - e.late)
             if e.started and e.started != known.started:
-                known.reset()  # a new process
+                known.reset()  # a new process, of which the former one's reports tell nothing
                 known.sick_until = 0
             known.size, known.zone = e.size, e.zone
             known.started = e.started if e.started is not None else known.started
@@ -385,7 +395,10 @@
                 owned.setdefault(s.owner, []).append(s)
 
     def _remove_stale_endpoints(self, now: int) -> None:
-        """Forgets endpoints that left the list long ago and that no slice refers to."""
+        """Forgets endpoints that left the list long ago and that no slice refers to.
+
+        Where each start has a new name they would pile up.
+        """
         stale = [
             e.name
             for e in self.endpoints.values()
@@ -868,7 +881,10 @@
         return ((tries - aborted) * took + aborted * self.max_op_timeout) / tries if tries else None
 
     def _is_strained(self, totals: tuple[int, int, float]) -> bool:
-        """Whether an endpoint is slow, or aborts a larger share of ops than its peers."""
+        """Whether an endpoint is slow, or aborts a larger share of ops than its peers.
+
+        A hand-over costs seconds of writes, which an endpoint that acks in time is not worth.
+        """
         tries, aborted, took = totals
         return (
             tries > 0
@@ -877,7 +893,10 @@
         )
 
     def _set_level(self, totals: list[tuple[int, int, float]]) -> None:
-        """Lowers the admission level while the median endpoint acks slowly, and raises it otherwise."""
+        """Lowers the admission level while the median endpoint acks slowly, and raises it otherwise.
+
+        Only the median's slow acks show overload; a few full endpoints are left to the rebalancer.
+        """
         ack_times = sorted(took for tries, _, took in totals if tries) or [0.0]
         if ack_times[len(ack_times) // 2] > OVERLOAD_LATENCY_SHARE * self.min_target_latency:
             self.level = max(MIN_LEVEL, self.level * LEVEL_BACKOFF)
@@ -931,7 +950,7 @@
             channel.send(now, self.mark, joined, len(lines))
             self.unmarked_proxies.clear()
         else:
-            self.mark = (self.mark - 1) % MARK_MODULUS  # nothing fitted: reuses the unsent mark
+            self.mark = (self.mark - 1) % MARK_MODULUS  # nothing fitted: unsent marks would use up the ring
 
     def _needs_barrier(self, revoked: Collection[Slice], now: int) -> bool:
         """Whether a mark is needed even without lines, so that awaited proxies can acknowledge a revoke.
--- a/cedarshift/judge/budgets.py
+++ b/cedarshift/judge/budgets.py
@@ -29,10 +29,11 @@
 ASKS_PER_LEASE = 4  # so that three may be lost
 MIN_ASK_INTERVAL_US = 200_000  # per holder; bounds the load of a thousand proxies on a pilot
 MIN_CHANGE_SHARE = 0.04  # smaller changes of a target are not worth a shrink
-MAX_ACCOUNTS_PER_ASK = 64  # with more accounts, targets are not computed at every ask
+# With more accounts, targets are not computed at every ask; a thousand proxies ask one pilot often.
+MAX_ACCOUNTS_PER_ASK = 64
 TARGET_UPDATES_PER_LEASE = 16  # with more than MAX_ACCOUNTS_PER_ASK accounts
 ROTATION_LEASES = 8  # leases after which the leftover parts of a division go to other holders
-MAX_DEPARTED_LIVES = 1_000  # departed lives whose late asks are still ignored
+MAX_DEPARTED_LIVES = 1_000  # departed lives whose late asks are still ignored; late ones come within seconds
 MAX_UNCLAIMED_GRANTS = 24  # of one life and budget; a holder with more gets no further one
 FOREVER = 1 << 62  # us
 
--- a/cedarshift/judge/charge.py
+++ b/cedarshift/judge/charge.py
@@ -17,7 +17,8 @@
 from hashlib import blake2b
 from typing import Any, Iterable, NamedTuple, Optional
 
-EPOCHS_PER_LIFE = 1 << 24  # upper bound on the assignments of one slice in a life of the store
+# Upper bound on the assignments of one slice in a life of the store; ten a second for three weeks.
+EPOCHS_PER_LIFE = 1 << 24
 
 
 @dataclass
--- a/cedarshift/judge/claims.py
+++ b/cedarshift/judge/claims.py
@@ -16,9 +16,12 @@
 from hashlib import blake2b
 from typing import Iterable, NamedTuple
 
-MAX_CLAIMS_PER_ASK = 256  # resources beyond these are left out
-SILENT_LIFE_LEASES = 16  # leases after which a silent holder life is forgotten
-MAX_OPEN_ASKS = 64  # asks of a holder that may still be answered
+# Resources beyond these are left out; so many cold at a time are a release, the rest comes as these
+# grow warm.
+MAX_CLAIMS_PER_ASK = 256
+# Leases after which a silent holder life is forgotten; its late asks come within seconds.
+SILENT_LIFE_LEASES = 16
+MAX_OPEN_ASKS = 64  # asks of a holder that may still be answered; some four a lease are made
 
 
 class ClaimRequest(NamedTuple):
--- a/cedarshift/judge/detector.py
+++ b/cedarshift/judge/detector.py
@@ -19,12 +19,13 @@
 
 from cedarshift.judge.chance import Lcg
 
-MISSES_FOR_SILENCE = 3  # consecutive unanswered probes
-HELPERS_PER_PROBE = 3  # members asked for an indirect probe
-RETRANSMIT_PERIODS = (0.2, 0.4, 0.7)  # periods after the first ping
+# Consecutive unanswered probes; a third of all datagrams lost gives one false silence in a thousand.
+MISSES_FOR_SILENCE = 3
+HELPERS_PER_PROBE = 3  # members asked for an indirect probe; one may be cut off itself
+RETRANSMIT_PERIODS = (0.2, 0.4, 0.7)  # periods after the first ping; the cheapest cure for loss
 DIRECT_TIMEOUT_PERIODS = 0.4  # then helpers and streams are tried
 NACK_TIMEOUT_PERIODS = 0.3  # periods within which a helper answers, with an ack or a nack
-STREAM_AFTER_MISSES = 1  # missed probes before a stream is tried too
+STREAM_AFTER_MISSES = 1  # missed probes before a stream is tried too; a stream costs more than a datagram
 LATE_ANSWER_PERIODS = 8  # periods for which late answers are accepted
 MIN_PROBE_PERIODS = 0.8  # a probe's minimum time; the next may come early when subjects change
 MAX_HEALTH_SCORE = 4  # 0 is healthy
--- a/cedarshift/judge/membership.py
+++ b/cedarshift/judge/membership.py
@@ -17,13 +17,14 @@
 from typing import NamedTuple, Optional
 
 # An endpoint absent for longer counts as restarted, unless it acked meanwhile
+# A session is renewed within seconds of its expiry, no machine boots so soon.
 SAME_PROCESS_WITHIN_US = 10_000_000
-MAX_OUTCOMES = 8  # newest reports kept for an endpoint
+MAX_OUTCOMES = 8  # newest reports kept for an endpoint; a few periods from a handful of zones
 OUTCOMES_FRESH_US = 10_000_000  # older reports are ignored
 LOSS_SHARE = 0.5  # share of ops aborted from which a vanished endpoint counts as dead
-MIN_LOSS_OPS = 4  # ops needed to judge an endpoint
+MIN_LOSS_OPS = 4  # ops needed to judge an endpoint; fewer are chance
 MASS_WINDOW_US = 2_000_000  # endpoints that vanish within this time count as one event
-MIN_MASS_ENDPOINTS = 3
+MIN_MASS_ENDPOINTS = 3  # two at once are chance
 MIN_MASS_SHARE = 0.2  # of the listed endpoints; above the batch size of a rolling deploy
 
 ON, FADING, OFF = "on", "fading", "off"
--- a/cedarshift/judge/order_channel.py
+++ b/cedarshift/judge/order_channel.py
@@ -23,7 +23,9 @@
 WAITING_SHARES = (0.95, 0.9, 0.6, 0.5)  # limit by urgency; leaves room for urgent steps
 RESERVED_LINES = 3  # per proxy, kept free for a further batch: a revoke, a clear and a grant
 GATHER_SHARE = 0.15  # waiting lines above which a batch is postponed until all its lines fit
-MAX_ACK_PAUSE = 5_000  # longest pause in which acknowledgements count as arriving
+# Longest pause in which acknowledgements count as arriving; after it nothing tells that the channel
+# drains.
+MAX_ACK_PAUSE = 5_000
 HEADER_GAP_FACTOR = 1.25  # shortest gap between batches, as a multiple of the time for their headers
 SECOND = 10_000  # in units of 0.1 ms
 
--- a/cedarshift/judge/overload.py
+++ b/cedarshift/judge/overload.py
@@ -20,26 +20,27 @@
 TARGET_PRESSURE = 0.3  # endpoints stay busy, with room for slow ops
 ENGAGE_PRESSURE = 0.5  # above it load is shed
 EASE_PRESSURE = 0.2  # below it endpoints run idle and more is admitted
-ENGAGE_STEPS = 2  # consecutive steps above ENGAGE_PRESSURE until load is shed
-ENGAGE_STEPS_AT_START = 6  # the same while the capacity is unknown
+ENGAGE_STEPS = 2  # consecutive steps above ENGAGE_PRESSURE until load is shed; one late report sheds nothing
+ENGAGE_STEPS_AT_START = 6  # the same while the capacity is unknown; the first ops of a start tell nothing
 JOIN_OTHERS_SHARE = 0.9  # median share of the others below which a pilot sheds load too
 ENGAGE_NOW_PRESSURE = 0.65  # above it a single step is enough
 GAIN_FACTOR = 0.8  # below pi/2, the stability limit of an integrator with delay
 MAX_GAIN = 1.5  # of the controller, however fresh the reports
 MAX_PRESSURE_ERROR = 1.0  # excess over TARGET_PRESSURE that the controller acts on at most
-RISE_PER_S = 0.25  # rise of the limit a second, as a share of the known capacity
+# Rise of the limit a second, as a share of the known capacity; all is back within four seconds.
+RISE_PER_S = 0.25
 FITS_SHARE = 0.95  # of the known capacity; offered work below it fits
 CALM_AFTER_US = 3_000_000  # time for which all load fits before the limit is lifted
 SMOOTHING = 0.5  # weight of the newest sample of acked work
 CAPACITY_DECAY = 0.99  # per step; an outdated capacity is forgotten within a minute
 MIN_SHARE = 0.05  # always admitted, so that recovery is noticed
 FULL_PRESSURE = 1.5  # pressure of an op that an endpoint had no room for
-MAX_PRESSURE = 4.0
+MAX_PRESSURE = 4.0  # an endpoint that answers nothing tells no more
 MIN_ACKED = 0.5  # lower bound on the acked ops by which ops in flight are divided
 FRESH_FOR_US = 2_000_000  # age up to which a report has its full weight
 STALE_AFTER_US = 8_000_000  # age from which a report has no weight
 OUTLIER_FACTOR = 4.0  # times the median; larger figures are clamped
-MIN_REPORTS_TO_CLAMP = 3
+MIN_REPORTS_TO_CLAMP = 3  # fewer have no middle to compare with
 CONSENSUS_PULL = 0.3  # towards the median of the others' shares, so that pilots do not drift apart
 RESTART_GAP_US = 2_500_000  # longest time between steps; then earlier state is discarded
 JAM_AFTER_US = 2_000_000  # longer than a burst's queue takes to drain
@@ -47,7 +48,7 @@
 JAM_CARRIED_SHARE = 0.3  # of the known capacity; less means that the cause persists
 JAM_LIMIT_SHARE = 0.5  # of the known capacity, while queues drain
 MAX_JAM_US = 8_000_000  # after which the capacity counts as reduced
-JAM_COOLDOWN_US = 20_000_000  # until the next jam may be detected
+JAM_COOLDOWN_US = 20_000_000  # until the next jam may be detected; ending a jam must not become a habit
 MAX_REPEAT_RATIO = 0.1  # repeats per fresh op while calm
 # By state
 REJECT_WAIT_US = {
@@ -63,7 +64,9 @@
 SHARE_FACTOR_SMOOTHING = 0.7  # weight of the newest sample
 MIN_ENDPOINT_OPS = 8.0  # fewer ops give no share of its own
 SHARE_FACTOR_GROWTH = 1.5  # per step, while the fleet is calm
-OVERLOADED_STEPS = 4  # consecutive steps before a single endpoint is relieved while the fleet is calm
+# Consecutive steps before a single endpoint is relieved while the fleet is calm; a jam of all is for
+# the fleet's answer.
+OVERLOADED_STEPS = 4
 STATES = ("calm", "limited", "jam")
 MAX_RATE = 1e7  # per second; larger figures are implausible
 
