--- a/tests/test_pilot.py
+++ b/tests/test_pilot.py
@@ -9,6 +9,8 @@
 from cedarshift.codec.frames import HEADER
 from cedarshift.link import connect
 from cedarshift.loop import StreamBroken, dial
+from cedarshift.pilot.service import DecisionBatch
+from cedarshift.sim.planted import inject_fault
 
 
 def fleet(tmp_path, seconds=12, proxies=3, delay=200, **terms):
@@ -362,3 +364,26 @@
     task = f.loop.spawn(mute(), "mute")
     f.run(5)
     assert task.done and task.result < 4 * SECOND
+
+
+def marks_as_sent(tmp_path):
+    """Submits a batch with a write and, before its commit is answered, one without; returns their marks."""
+    f = fleet(tmp_path)
+    service = next(pilot for pilot in f.pilots.values() if pilot.slices)
+    sent, send_batch = [], service._send_batch
+    service._send_batch = lambda batch: (sent.append(batch.mark), send_batch(batch))
+    row = next(row for row in service.slices.values() if row.owner)
+    with_write, without = DecisionBatch(f.loop.now()), DecisionBatch(f.loop.now())
+    with_write.lines = [m.Line(row.slice, row.owner, 1.0, row.epoch)]
+    with_write.mark, without.mark = 60_001, 60_002
+    service._submit_batch(with_write)
+    service._submit_batch(without)
+    f.run(0.1)
+    return [mark for mark in sent if mark in (60_001, 60_002)]
+
+
+# The planted fault "empty-overtake" was found by no seed of the simulation.
+def test_a_batch_without_writes_waits_for_the_commits_before_it(tmp_path):
+    assert marks_as_sent(tmp_path) == [60_001, 60_002]
+    with inject_fault("empty-overtake"):
+        assert marks_as_sent(tmp_path) == [60_002, 60_001]
--- a/tests/test_write_stops.py
+++ b/tests/test_write_stops.py
@@ -4,6 +4,7 @@
 from helpers import decisions, entry, pilot
 
 from cedarshift.observations import OWNED, REVOKING, SETTLING
+from cedarshift.sim.planted import inject_fault
 
 LEASE, TRANSIT, READ_DELAY = 25_000, 5_000, 10_000  # 0.1 ms
 SILENCE = READ_DELAY + LEASE + READ_DELAY
@@ -84,6 +85,20 @@
     assert p.stops.proxy_stop_time(p.proxies[1], p.slices[0]) is None
 
 
+def awaits_a_proxy_that_joined_after_the_revoke():
+    p = revoked()
+    p.on_join(100_500, 3, "z")
+    acknowledge(p, 101_000, 0, 1, 2)
+    return p.stops.last_stop_time(p.slices[0], 101_000) is None
+
+
+# The planted fault "newcomer" was found by no seed of the simulation.
+def test_a_proxy_that_joined_after_the_revoke_is_awaited():
+    assert awaits_a_proxy_that_joined_after_the_revoke()
+    with inject_fault("newcomer"):
+        assert not awaits_a_proxy_that_joined_after_the_revoke()
+
+
 def test_a_newly_assigned_empty_slice_waits_only_for_the_lease():
     p = pilot(owners="-bcd", proxies=3)
     for at in range(1_000, 30_000, 2_000):
