A pilot with claims keeps dialling the store often until they end

Cause: waits between dials stay short while the session lasts and grow after it; claims last longer than sessions. Change: the waits stay short while claims are held. The budget of dials is as it was.

--- a/cedarshift/budgets/pilot.py
+++ b/cedarshift/budgets/pilot.py
@@ -221,6 +221,10 @@
         if self.decision_budgets is not None:
             self.decision_budgets.publish_changes(self.loop.now())
 
+    def holds_claims(self) -> bool:
+        """Returns whether the pilot holds claims, which end unless the store renews them."""
+        return self.decision_budgets is not None and bool(self.decision_budgets.holder.held(self.loop.now()))
+
     # ---- proxies
 
     def on_heartbeat(self, proxy: str, heartbeat: m.Heartbeat) -> tuple[int, list[m.BudgetGrant]]:
--- a/cedarshift/pilot/store_client.py
+++ b/cedarshift/pilot/store_client.py
@@ -38,12 +38,14 @@
     """The budgets that use the pilot's store session and limit how often the store is dialled.
 
     `wish` registers that one dial is wanted, `take` spends it from the budget if that is possible now.
+    `holds_claims`: whether something ends for this pilot unless the store is back soon.
     """
 
     def on_store_link(self, link: Optional[Link]) -> None: ...
     def on_shares(self, message: m.BudgetSharesReply) -> None: ...
     def wish(self, use: str) -> None: ...
     def take(self, use: str) -> bool: ...
+    def holds_claims(self) -> bool: ...
 
 
 class StoreClient:
@@ -146,10 +148,12 @@
     def _wait_before_redial(self, min_wait: int) -> Coroutine:
         """Waits at least `min_wait` us, releasing the slices if their lease expires meanwhile.
 
-        While the lease runs the wait stays short, so that a store that returns in time is found.
+        While the lease runs, or claims are held, the wait stays short, so that a store that returns in time
+        is found.
         """
         wait = self.backoff.wait(min_wait)
-        if not self.lapsed and not min_wait:
+        holds_something = not self.lapsed or (self.budgets is not None and self.budgets.holds_claims())
+        if holds_something and not min_wait:
             wait = min(wait, MIN_REDIAL_DELAY_US + int(self.rng() * self.lease / LEASE_JITTER_DIVISOR))
         until = self.loop.now() + wait
         if not self.lapsed and self.valid_until <= until:
--- a/tests/test_redial.py
+++ b/tests/test_redial.py
@@ -14,7 +14,7 @@
 from cedarshift.link import serve
 from cedarshift.loop import listen
 from cedarshift.loop.world import World
-from cedarshift.pilot.store_client import StoreClient
+from cedarshift.pilot.store_client import LEASE_JITTER_DIVISOR, MIN_REDIAL_DELAY_US, StoreClient
 from cedarshift.store.ledger import MemoryLedger
 from cedarshift.store.service import StoreService
 
@@ -99,10 +99,61 @@
         self.left -= 1
         return self.left >= 0
 
+    def holds_claims(self):
+        return False
+
     def on_store_link(self, link):
         pass
 
 
+class Claims(NoDials):
+    """A dial budget without a limit, of a pilot that may hold claims."""
+
+    def __init__(self, held):
+        self.held = held
+
+    def take(self, use):
+        return True
+
+    def holds_claims(self):
+        return self.held
+
+
+# A store that was back before the claims ended was found after their end: the waits had grown with the lapse.
+@pytest.mark.parametrize("held", [True, False])
+def test_a_pilot_with_claims_dials_often_after_its_slices_have_lapsed(held):
+    world, lease = World(5), 2 * SECOND
+    door, host = world.host("10.0.1.1"), world.host("10.0.0.1")
+    StoreService(
+        door.loop,
+        listen(door.loop, ("10.0.1.1", 7000)),
+        MemoryLedger(4),
+        Identity("d", "store", "store"),
+        ["p0"],
+        lease,
+        0,
+        0,
+    )
+    dials = []
+    StoreClient(
+        host.loop,
+        ("10.0.1.1", 7000),
+        Identity("d", "pilot", "p0"),
+        0,
+        IgnoringCharge(),
+        lambda event, **fields: dials.append(host.loop.now()) if event == "store_lost" else None,
+        budgets=Claims(held),
+        rng=random.Random(3).random,
+    )
+    world.run(host.loop.spawn(host.loop.sleep(SECOND), "joined"))
+    door.end()
+    lapsed_at = host.loop.now() + lease
+    world.run(host.loop.spawn(host.loop.sleep(10 * SECOND), "until then"))
+    late = [at for at in dials if at >= lapsed_at]
+    longest = max(after - before for before, after in zip(late, late[1:]))
+    assert (longest <= MIN_REDIAL_DELAY_US + lease // LEASE_JITTER_DIVISOR + 10_000) is held
+
+
 def test_a_charge_ends_on_time_while_the_dial_budget_is_spent():
     world, callbacks = World(5), IgnoringCharge()
     door, host = world.host("10.0.1.1"), world.host("10.0.0.1")
