Proxies with the same level no longer admit and refuse the same ops in step

Callers under a level (a share of the ops is admitted): all proxies that got it together refused their first ops and then all admitted the same one, so the endpoints got the fleet's ops in bursts.

Cause: Tables began each level's Thinning at position 0. The gate of the overload policy begins at a random one. Change: the random number that a pick is handed is the start.

--- a/cedarshift/agent/tables.py
+++ b/cedarshift/agent/tables.py
@@ -231,7 +231,7 @@
         held_slice = self.held[slice_id]
         view = self.views.get(held_slice.pilot)
         levels = held_slice.levels + (self._fleet_levels(now, held_slice.pilot, view) if view else [])
-        if (refused := self._check_level(levels, slice_id, op_type)) is not None:
+        if (refused := self._check_level(levels, slice_id, op_type, random_value)) is not None:
             return refused
         if self.single_owner and self.op_types[op_type].writes:
             if view is None or now >= view.lease_until:
@@ -250,7 +250,9 @@
             return NoPick("no-owner", waits=True)
         view = self.views[name]
         if (
-            refused := self._check_level(self._fleet_levels(now, name, view), view.table, op_type)
+            refused := self._check_level(
+                self._fleet_levels(now, name, view), view.table, op_type, random_value
+            )
         ) is not None:
             return refused
         trials = self._current_trials(now, name)
@@ -336,14 +338,19 @@
                 return endpoint
         return next(reversed(lines))
 
-    def _check_level(self, levels: list[Level], table: int, op_type: int) -> Optional[NoPick]:
-        """Returns None if an op is within the lowest share of the levels for its type, else why not."""
+    def _check_level(
+        self, levels: list[Level], table: int, op_type: int, random_value: float
+    ) -> Optional[NoPick]:
+        """Returns None if an op is within the lowest share of the levels for its type, else why not.
+
+        `random_value` spreads the proxies, so that those with the same level do not admit together.
+        """
         share = min((lv.share for lv in levels if not lv.mask or lv.mask >> op_type & 1), default=1.0)
         if share >= 1.0:
             return None
         if share <= 0.0:
             return NoPick("closed")
-        return None if self.admitted.passes((table, op_type), share) else NoPick("level")
+        return None if self.admitted.passes((table, op_type), share, random_value) else NoPick("level")
 
     def retries(self, slice_id: int, op_type: int) -> int:
         """Returns how ops of a type may be retried, by the last level that applies to them.
--- a/cedarshift/sim/planted.py
+++ b/cedarshift/sim/planted.py
@@ -153,7 +153,7 @@
 
     return [
         (Tables, "_set_owner", set_some_owners),
-        (Tables, "_check_level", lambda self, levels, table, op_type: None),
+        (Tables, "_check_level", lambda self, levels, table, op_type, random_value: None),
     ]
 
 
--- a/cedarshift/standins/proxy.py
+++ b/cedarshift/standins/proxy.py
@@ -99,7 +99,7 @@
         if line.weight > 0 and not self.held[line.table].owner:
             super()._set_owner(pilot, line)
 
-    def _check_level(self, levels: list[m.Level], table: int, op_type: int) -> None:
+    def _check_level(self, levels: list[m.Level], table: int, op_type: int, random_value: float) -> None:
         return None
 
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -184,6 +184,15 @@
     assert sum(picks) == pytest.approx(20 * expected, rel=0.2)
 
 
+def test_proxies_that_get_a_level_together_do_not_admit_the_same_ops_together():
+    fleet, rng = [tables() for _ in range(1000)], random.Random(3)
+    for t in fleet:
+        t.on_order("p", order(levels=[m.Level(65_535, 0, 0.1)]))
+    for _ in range(20):
+        admitted = sum(isinstance(t.pick(0, 0, GET, rng.random()), Pick) for t in fleet)
+        assert 50 <= admitted <= 200
+
+
 def test_endpoints_that_come_and_go_leave_nothing_behind():
     (t,) = proxies_with_lines(1, a=1.0)
     for number in range(100):
