The gap between two batches no longer makes a drain late by itself

Callers: with 46 slices overdue at an assignment behind an earlier batch the last proxy left a draining endpoint after 3.03 s, 3.0 s (drain_grace) allowed.

Cause: the channel was empty at 15.346 s, the next batch left at 15.400 s, as batches lie 1.25 header times apart so that lines share headers.

Change: OrderChannel.gap_breaks_deadline leaves the gap out where the lines to be removed are applied in time without it and too late with it.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -128,6 +128,7 @@
         self.channel = OrderChannel(config)
         # Time from a drain report to the removal of the endpoint's lines, before the channel's delay is
         # subtracted. The margin covers ops that still wait for a connection.
+        self.drain_grace = config.drain_grace
         self.grace = config.drain_grace - config.drain_grace // 6 - config.transit_most - config.connect_most
         self.max_list_retry = max(MIN_LIST_RETRY, config.ask_within // 4)
         self.endpoints: dict[str, Endpoint] = {}
@@ -909,7 +910,11 @@
         """Sends all that is due and fits the channel as one batch that ends in a mark."""
         joined = sum(p.joined for p in self.proxies.values())
         channel = self.channel
-        if not channel.ready(now, joined):
+        if not channel.free(now):
+            return
+        if channel.in_gap(now, joined) and not channel.gap_breaks_deadline(
+            now, joined, self.leaving, self._first_drain_deadline()
+        ):
             return
         self.candidates = None
         channel.estimate_delay(now, joined, self.leaving)
@@ -963,6 +968,11 @@
             asked = (self.proxies[number] for number in self.unmarked_proxies)
         return any(self.stops.proxy_stop_time(proxy, s) is None for proxy in asked for s in revoked)
 
+    def _first_drain_deadline(self) -> float:
+        """When the first drain grace ends among the slices whose line names an endpoint that must be left."""
+        begun_at = (self._leave_reported_at(s) for s in self.slices.values() if s.has_line)
+        return self.drain_grace + min(begun_at, default=math.inf)
+
     def _line_count_due(self, due: list[tuple], max_urgency: int) -> int:
         """Lines per proxy of all steps up to an urgency, without a mark."""
         return sum(
--- a/cedarshift/judge/order_channel.py
+++ b/cedarshift/judge/order_channel.py
@@ -47,6 +47,7 @@
         self.header_lines = config.lines_per_message + 1  # of a message, barrier included
         self.max_waiting = config.lines_waiting_most or math.inf
         self.time_per_line = SECOND / config.lines_per_s if config.lines_per_s else 0.0
+        self.max_transit = config.transit_most
         self.min_interval = (
             config.messages_span // max(1, config.messages_most - 1) + 1 if config.messages_most else 0
         )
@@ -62,9 +63,18 @@
         """Shortest time between two batches."""
         return max(self.min_interval, HEADER_GAP_FACTOR * self._header_time(joined))
 
-    def ready(self, now: int, joined: int) -> bool:
-        """Whether the rate limits allow a batch now: the channel is empty and the gap has passed."""
-        return now >= max(self.sent_at + self.min_gap(joined), self.free_at)
+    def free(self, now: int) -> bool:
+        """Whether the channel is empty, at the configured rate, and the rate limit allows a batch now."""
+        return now >= max(self.sent_at + self.min_interval, self.free_at)
+
+    def in_gap(self, now: int, joined: int) -> bool:
+        """Whether a batch is to be postponed so that more lines share its headers."""
+        return now < self.sent_at + self.min_gap(joined)
+
+    def gap_breaks_deadline(self, now: int, joined: int, required: int, deadline: float) -> bool:
+        """Whether `required` lines are applied by a deadline if sent now, but not if sent after the gap."""
+        time_to_apply = self._time_to_apply(joined, required)
+        return now + time_to_apply <= deadline < self.sent_at + self.min_gap(joined) + time_to_apply
 
     def estimate_delay(self, now: int, joined: int, leaving: int) -> None:
         """Sets `estimated_delay`: how long a batch sent now waits, with a line for `leaving` slices."""
@@ -115,20 +125,29 @@
         so these wait only until there is room for an even part of them in the fewest batches that can carry
         them all: with the room at which the wait ends, as no batch gets more by waiting.
         """
-        waiting, few_waiting = self.waiting(), GATHER_SHARE * self.max_waiting
+        waiting = self.waiting()
         if (
-            waiting <= few_waiting
+            waiting <= GATHER_SHARE * self.max_waiting
             or now - last_ack_heard_at >= MAX_ACK_PAUSE
             or waiting + joined * (self.header_lines + lines) <= WAITING_SHARES[1] * self.max_waiting
         ):
             return False
-        fewest_batches = math.ceil(required / max(1.0, self._batch_room(joined, few_waiting)))
+        fewest_batches = self._fewest_batches(joined, required)
         return fewest_batches <= 1 or self._batch_room(joined, waiting) < required / fewest_batches
 
+    def _fewest_batches(self, joined: int, required: int) -> int:
+        """Number of batches for `required` lines per proxy, with the room at which a wait for acks ends."""
+        return math.ceil(required / max(1.0, self._batch_room(joined, GATHER_SHARE * self.max_waiting)))
+
     def _batch_room(self, joined: int, waiting: float) -> float:
         """Lines per proxy that a batch of required steps may have while others wait."""
         return (WAITING_SHARES[0] * self.max_waiting - waiting) / max(1, joined) - self.header_lines
 
+    def _time_to_apply(self, joined: int, required: int) -> float:
+        """Time until all proxies have applied `required` lines each, with the longest transit."""
+        headers_time = self._fewest_batches(joined, required) * self._header_time(joined)
+        return headers_time + joined * required * self.time_per_line + self.max_transit
+
     # ---- batches
 
     def send(self, now: int, barrier: int, joined: int, lines: int) -> None:
