An impossible start is timed by the pilot's clock and logged as start_failed

Callers see nothing; operators could not tell a start that waited from a machine that was slow to load the program.

Cause: the test's clock counted the loading of the process.

Change: the pilot logs start_failed (reason, after_ms). The test was wrong in its clock: it holds the same bound by after_ms, adds an upper one (3.5 s; the limit of a start is 3 s) and that only the unfinished file is waited for.

--- a/cedarshift/platform/start.py
+++ b/cedarshift/platform/start.py
@@ -64,9 +64,11 @@
 
 def serve(loop: Loop, signals: Signals, environment: Environment, report: Callable[..., None]) -> Coroutine:
     """Runs the pilot until a signal to stop. Returns the exit code."""
+    began_at = loop.now()
     try:
         loaded = yield from load_and_listen(loop, signals, lambda: read_config(environment), report)
     except (ConfigError, OSError) as error:
+        report("start_failed", reason=str(error), after_ms=(loop.now() - began_at) // 1000)
         return report_start_failure(error)
     if loaded is None:
         return 0
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -301,11 +301,15 @@
 )
 def test_an_impossible_start_fails_with_one_line(pilot, text, reason):
     pilot.path.write_text(text)
-    started_at = time.monotonic()
-    assert pilot.start().wait_ended(TIMEOUT_S) == 2
+    assert pilot.start().wait_ended(READY_TIMEOUT_S) == 2
     lines = [line for line in pilot.log_path.read_text().splitlines() if not line.startswith("{")]
     assert len(lines) == 1 and reason in lines[0] and str(pilot.path) in lines[0]
-    assert (time.monotonic() - started_at > 2) is (text == "{")
+    (failure,) = pilot.log("start_failed")
+    assert reason in failure["reason"]
+    # By the pilot's clock: a busy machine may take seconds to load the program.
+    assert failure["after_ms"] <= 3500
+    assert (failure["after_ms"] > 2000) is (text == "{")
+    assert bool(pilot.log("start_waits")) is (text == "{")
 
 
 @pytest.mark.parametrize("peers", ["absent", "accept and say nothing", "a head and no more", "reset"])
