A pilot keeps the slices that it granted from a cold endpoint's whole budget

Cause, first of two: a pilot grants a cold endpoint slices by the fleet's fair rate, as it alone has the budget, and sheds what exceeds 1.8 times its own part.

Change: the shed limit of the pilot with the budget is at least that budget; the other pilots' limits stay, as a restarted endpoint has slices of all.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -564,13 +564,8 @@
         warmth = self._warmth(e, now)
         if warmth >= 1.0:
             return self.fair_rate * e.capacity
-        if e.has_cold_budget is None:
-            e.has_cold_budget = self.pilot_index == max(
-                range(self.pilots), key=lambda pilot_index: rendezvous(e.name, pilot_index, 1.0)
-            )
-        if not self.budgets.get(e.name, self.budgets.get("*", e.has_cold_budget)):
+        if not self._holds_cold_budget(e):
             return 0.0
-        fleet_share = self.fleet_slice_ratio * self.fair_rate * min(e.capacity, self.mean_capacity)
         initial_share = 1.0 if e.slice_gained_at > e.started else COLD_INITIAL_SHARE
         if (
             initial_share == 1.0
@@ -578,13 +573,20 @@
             and not self._window_totals(e, now, e.slice_gained_at)[0]
         ):
             return 0.0  # no report covers its newest slice yet
-        return (
-            initial_share
-            * min(1.0, COLD_LOAD_SHARE * self.tip_multiple)
-            * warmth
-            * fleet_share
-            * self.budget_scale
-        )
+        return initial_share * self._cold_budget(e, warmth)
+
+    def _holds_cold_budget(self, e: Endpoint) -> bool:
+        """Whether this pilot may assign slices to a cold endpoint: by grant, or else by rendezvous choice."""
+        if e.has_cold_budget is None:
+            e.has_cold_budget = self.pilot_index == max(
+                range(self.pilots), key=lambda pilot_index: rendezvous(e.name, pilot_index, 1.0)
+            )
+        return self.budgets.get(e.name, self.budgets.get("*", e.has_cold_budget))
+
+    def _cold_budget(self, e: Endpoint, warmth: float) -> float:
+        """Op rate that the whole fleet may assign to a cold endpoint."""
+        fleet_share = self.fleet_slice_ratio * self.fair_rate * min(e.capacity, self.mean_capacity)
+        return min(1.0, COLD_LOAD_SHARE * self.tip_multiple) * warmth * fleet_share * self.budget_scale
 
     def _choose_within_limit(self, s: Slice, now: int) -> Optional[str]:
         """Rendezvous choice among the healthy endpoints with spare capacity; None where there is none."""
@@ -777,8 +779,14 @@
         due = []
         for e in self.live:
             warmth = self._warmth(e, now)
-            limit = (
-                COLD_LOAD_SHARE * self.tip_multiple * warmth * self.budget_scale * self.fair_rate * e.capacity
+            limit = max(
+                COLD_LOAD_SHARE
+                * self.tip_multiple
+                * warmth
+                * self.budget_scale
+                * self.fair_rate
+                * e.capacity,
+                self._cold_budget(e, warmth) if self._holds_cold_budget(e) else 0.0,
             )
             excess = self.assigned_rates.get(e.name, 0.0) - limit
             for s in self.owned_slices.get(e.name, ()) if warmth < 1.0 else ():
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -368,6 +368,21 @@
     assert sorted(rooms)[:2] == [0, 0] and max(rooms) >= 1
 
 
+# A pilot took slices away again that it had just granted from the fleet's budget of a cold endpoint.
+def test_only_the_pilot_with_a_cold_endpoints_budget_may_fill_it():
+    excess = []
+    for pilot_index in range(5):
+        p = pilot("abcdefgh", "aaaaaaa" + "bcdefgh" * 3, pilots=5, pilot_index=pilot_index, slices=5 * 28)
+        p.on_list(100_000, "update", [entry("a", started=40_000)])
+        p.endpoints["a"].slice_gained_at = 90_000
+        p.on_endpoint_report(100_000, "a", "z", 20, 0, 3_000, 10_000)
+        p._update_estimates(100_000)
+        holds = p._rate_limit(p.endpoints["a"], 100_000) >= p.assigned_rates["a"]
+        excess.append((holds, len(p._cold_excess(100_000))))
+    assert sorted(excess)[-1] == (True, 0)
+    assert all(not holds and shed > 0 for holds, shed in sorted(excess)[:-1])
+
+
 def test_a_drain_fits_a_channel_filled_by_moves():
     p = pilot(lines_waiting_most=200.0)
     p.channel.unacknowledged.append(Batch(p.mark, 0, 155.0, 77.5))
