A cold endpoint without slices waits for no report before it gets new ones

Cause, second of two: the budget of a cold endpoint is 0 until a report covers its newest slice. Once that slice was taken away no op comes, so no report.

Change: only an endpoint that owns slices waits. The new test fails on the former commit.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -560,6 +560,7 @@
 
         The budget of a cold endpoint belongs to a single pilot: divided among all it would be too small for a
         slice. It is 0 for the other pilots, and until a report covers the newest slice gained.
+        An endpoint that has lost its slices since waits for no report.
         """
         warmth = self._warmth(e, now)
         if warmth >= 1.0:
@@ -569,6 +570,7 @@
         initial_share = 1.0 if e.slice_gained_at > e.started else COLD_INITIAL_SHARE
         if (
             initial_share == 1.0
+            and e.name in self.owned_slices
             and now > e.slice_gained_at
             and not self._window_totals(e, now, e.slice_gained_at)[0]
         ):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -422,6 +422,16 @@
     assert (p._rate_limit(p.endpoints["a"], 150_000) > 0) is room
 
 
+# A cold endpoint that lost its slices before a report stayed without any until it was warm.
+@pytest.mark.parametrize("owners, room", [("abcdabcd", False), ("bbcdbbcd", True)])
+def test_a_cold_endpoint_without_slices_waits_for_no_report(owners, room):
+    p = pilot(owners=owners)
+    p.on_list(100_000, "update", [entry("a", started=100_000)])
+    p.endpoints["a"].slices_changed_at = p.endpoints["a"].slice_gained_at = 110_000
+    p._update_estimates(150_000)
+    assert (p._rate_limit(p.endpoints["a"], 150_000) > 0) is room
+
+
 @pytest.mark.parametrize("put_unanswered, sick", [(0, False), (9, True)])
 def test_an_endpoint_that_serves_one_op_type_is_not_sick(put_unanswered, sick):
     p = pilot()
