--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -34,6 +34,9 @@
     reserved = ReservedPorts()
     in_use = reserved.take(1)[0]
     with socket.socket() as former:
+        former.setsockopt(
+            socket.SOL_SOCKET, socket.SO_REUSEADDR, 1
+        )  # a closed connection may still rest there
         former.bind(("127.0.0.1", in_use))
         former.listen()
         assert in_use not in reserved.take(len(reserved.ports) - 1)
