--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -25,7 +25,7 @@
 from cedarshift.codec.platform.errors import ConfigError, ConfigNotReady
 from cedarshift.loop import dial
 from cedarshift.loop.epoll import real_loop
-from cedarshift.observations import OWNED, REVOKING
+from cedarshift.observations import OWNED, REVOKING, SETTLING
 from cedarshift.platform.log import MAX_COUNTED_EVENTS, MAX_LINES_PER_WINDOW, WINDOW_US, make_report
 from cedarshift.platform.start import apply_reload
 from cedarshift.rehearsal.fleet import Ports
@@ -615,3 +615,20 @@
     assert "share,0,a,0" in stage.orders() and "share,2,a,0" in stage.orders(), (
         "the drained owner's lines were never emptied"
     )
+
+
+# A pilot granted slices over a dead event stream, though another pilot may have had them meanwhile.
+@pytest.mark.parametrize("gap, granted", [(0.2, True), (1.5, False)])
+def test_a_grant_waits_for_the_snapshot_where_the_slice_may_have_been_away(gap, granted):
+    stage = Stage(proxies=(0, 1)).run(1)
+    s = stage.brain.slices[0]
+    stage.order(("mark", 8, True))  # opens the connection that later calls use
+    stage.run(0.1)
+    stage.relay.listener.close()
+    stage.relay.cut()
+    stage.brain.endpoints["a"].phase = "fading"
+    stage.brain.estimated_at = stage.pilot._now() + 10**9
+    s.state, s.target, s.mark = SETTLING, "b", 9
+    s.state_since = s.stopped_at = stage.pilot._now() + int(gap * 10_000) - stage.brain.settle_time
+    stage.run(gap + 0.3)
+    assert any(order.startswith("share,0,b") for order in stage.orders()) is granted
