A retry no longer carries orders of a slice that changed hands during its delay

Callers could see a write at a new owner while the former has one in hand: a pilot's call with a grant is unanswered, the slice is taken and given back during the delay before the next attempt, and that attempt carries the grant with a proof from before the giving.

Cause: _send_batch chose the orders of an attempt and _call then slept for 10 to 200 ms. drop_slice came too late for an attempt already chosen.

Change: the delay comes before the choice, so an attempt carries what stands when it is made. The new test failed before (the retry had share,0,b,1).

--- a/cedarshift/platform/relay.py
+++ b/cedarshift/platform/relay.py
@@ -132,6 +132,10 @@
     def _send_batch(self, batch: OrderBatch) -> Coroutine:
         attempts = 0
         while batch.pending:
+            if attempts > 1:
+                yield from self.loop.sleep(min(RETRY_MAX_DELAY_US, RETRY_MIN_DELAY_US << min(attempts - 2, 8)))
+                if not batch.pending:  # dropped meanwhile
+                    break
             sent = batch.pending[: orders.count_fitting(batch.pending)]
             response = yield from self._call(sent, attempts)
             marked_count = max((at for at, order in enumerate(sent, 1) if order.mark is not None), default=0)
@@ -166,8 +170,6 @@
 
     def _call(self, sent: list[orders.Order], attempts: int) -> Coroutine:
         """Makes one attempt. Returns a CallResponse, or None if the outcome is unknown."""
-        if attempts > 1:
-            yield from self.loop.sleep(min(RETRY_MAX_DELAY_US, RETRY_MIN_DELAY_US << min(attempts - 2, 8)))
         self.counts["calls"] += 1
         self.counts["repeats"] += attempts > 0
         try:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -128,6 +128,22 @@
     assert (0 in stage.brain.slices) is back and (not back or stage.brain.slices[0].owner == "a")
 
 
+# A slice that went and came back while its grant waited for a retry was granted by the former proof.
+def test_orders_of_a_slice_removed_during_the_delay_before_a_retry_are_not_sent():
+    stage = Stage(proxies=()).run(1)
+    stage.relay.script = ["lost"] * 6
+    stage.order(("line", 0, "b", 1), OTHER, ("mark", 9, True))
+    while len(stage.relay.calls) < 6:
+        stage.run(0.01)
+    for event in ("shard=0&set=0", "shard=0&set=1"):
+        stage.relay.send_event("lease", event)
+    stage.run(1)
+    assert [orders for _, orders in stage.relay.calls[5:7]] == [
+        ["share,0,b,1", "share,1,b,1", "mark,9,1"],
+        ["share,1,b,1", "mark,9,1"],
+    ]
+
+
 def test_ack_latency_counts_from_the_decision_however_late_the_call_was_accepted():
     stage = Stage().run(1)
     stage.relay.script = ["lost", "lost"]
