--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -212,6 +212,7 @@
         if taken is not None:
             self.stops.interrupt(now, taken)
         self.planned_moves.pop(slice_id, None)
+        self.assignments.in_doubt.discard(slice_id)
         self.sorted_slices = None
         if given:
             s = self.slices[slice_id] = Slice(slice_id, now)
@@ -244,9 +245,13 @@
                 self._set_phase(self.endpoints[endpoint], "off", now)
 
     def on_assignments_known(self, now: int, as_of: int) -> None:
-        """All assignments that the store made up to `as_of` have been reported."""
+        """All assignments that the store made up to `as_of` have been reported, but for slices in doubt."""
         self.assignments.renew(as_of)
 
+    def on_slices_in_doubt(self, now: int, slice_ids: Collection[int]) -> None:
+        """These slices, and no others, may have been reassigned without a report."""
+        self.assignments.in_doubt = set(slice_ids)
+
     def on_ack(self, now: int, proxy: int, mark: int, took: int) -> None:
         """A proxy acknowledged all orders up to a mark, which took effect `took` after they were sent."""
         p = self.proxies.get(proxy)
@@ -649,18 +654,17 @@
         ]
         return sorted(waits, key=lambda wait: (-wait.without_line, -wait.age))
 
-    def may_grant(self, now: int) -> bool:
+    def may_grant(self, now: int, slice_id: int) -> bool:
         """Whether orders may be sent that name an owner of a slice or admit op types that were closed.
 
         The host asks again before it sends such an order, also one that it repeats. Other orders may go.
         """
-        return self.assignments.is_valid(now)
+        return self.assignments.covers(slice_id, now)
 
     def grants_waiting(self, now: int) -> list[int]:
         """How long each grant that only `may_grant` holds back has been due, for the log."""
-        if self.may_grant(now):
-            return []
-        waiting = (s for s in self._sorted_slices() if s.state in (SETTLING, EMPTY))
+        settled = (s for s in self._sorted_slices() if s.state in (SETTLING, EMPTY))
+        waiting = (s for s in settled if not self.may_grant(now, s.number))
         ages = [now - s.state_since - self.settle_time for s in waiting]
         return [age for age in ages if age >= 0]
 
@@ -764,7 +768,6 @@
         stopped: dict[tuple, Optional[int]] = {}  # by batch of the revoke
         healthy = {e.name for e in self.live if now >= e.sick_until}
         leave_reported: dict[int, float] = {}
-        may_grant = self.may_grant(now)
         for s in [
             s for s in self._sorted_slices() if s.state != OWNED or s.owner not in healthy or s.all_closed
         ]:
@@ -787,7 +790,7 @@
                 due.append((urgency, number, "revoke", None))
             elif s.state in (REVOKING, SETTLING) and s.has_line and overdue:
                 due.append((0, number, "clear", None))
-            elif not may_grant:
+            elif not self.may_grant(now, number):
                 continue
             elif s.state in (REVOKING, SETTLING):
                 if self._should_abort_hand_over(s, now):
--- a/cedarshift/judge/assignment_lease.py
+++ b/cedarshift/judge/assignment_lease.py
@@ -1,4 +1,4 @@
-"""Determines whether slices are surely still assigned to this pilot. No I/O; time is passed in.
+"""Determines whether a slice is surely still assigned to this pilot. No I/O; time is passed in.
 
 The store may assign a slice to another pilot and back while this one receives no events. With an assignment
 the op types of a slice are admitted again, so what was proved about its former owner no longer holds: a grant
@@ -6,7 +6,8 @@
 so the pilot itself must not grant until it knows that the slice has not been.
 
 The lease is renewed by events: after the latest time as of which all are known, the store leaves slices with
-the pilot for a while. Orders that close a slice need no lease, as they are safe whoever has it.
+the pilot for a while. A slice that incomplete news does not name is in doubt, and not covered. Orders that
+close a slice need no lease, as they are safe whoever has it.
 """
 
 from __future__ import annotations
@@ -24,13 +25,16 @@
     def __init__(self, duration: int) -> None:
         self.duration = duration
         self.renewed_at: Optional[int] = None
+        self.in_doubt: set[int] = set()  # slices that the lease does not cover
 
     def renew(self, as_of: int) -> None:
         """All assignments up to a time are known."""
         self.renewed_at = as_of if self.renewed_at is None else max(self.renewed_at, as_of)
 
-    def is_valid(self, now: int) -> bool:
-        """Whether all slices that this pilot knows of as its own are surely still assigned to it."""
+    def covers(self, slice_id: int, now: int) -> bool:
+        """Whether a slice that this pilot knows of as its own is surely still assigned to it."""
         if not self.duration:
             return True
-        return self.renewed_at is not None and now - self.renewed_at < self.duration
+        if self.renewed_at is None or slice_id in self.in_doubt:
+            return False
+        return now - self.renewed_at < self.duration
--- a/cedarshift/platform/relay.py
+++ b/cedarshift/platform/relay.py
@@ -59,8 +59,8 @@
 
     `on_accepted(order)` or `on_rejected(order)` is called for each order that was not removed by
     `drop_slice` or withheld, and `on_done(batch)` after the last one. `acks_expected()` returns whether any
-    proxy is connected that could ack, `may_grant()` whether an order that grants a slice may be sent now.
-    One that may not leaves the batch and is kept in `withheld` until `drop_slice`."""
+    proxy is connected that could ack, `may_grant(slice_id)` whether an order that grants a slice may be sent
+    now. One that may not leaves the batch and is kept in `withheld` until `drop_slice`."""
 
     def __init__(
         self,
@@ -70,7 +70,7 @@
         on_rejected: Callable[[orders.Order], None],
         on_done: Callable[[OrderBatch], None],
         acks_expected: Callable[[], bool],
-        may_grant: Callable[[], bool],
+        may_grant: Callable[[int], bool],
         report: Report,
     ) -> None:
         self.loop = loop
@@ -178,9 +178,11 @@
         """Takes the orders out of a batch that grant a slice but may not be sent now.
 
         Marks stay: an ack tells when proxies have applied revokes, and nothing about a grant."""
-        if self.may_grant():
-            return
-        held = [order for order in batch.pending if order.grants]
+        held = [
+            order
+            for order in batch.pending
+            if order.grants and order.slice_id is not None and not self.may_grant(order.slice_id)
+        ]
         held_ids = set(map(id, held))
         batch.pending = [order for order in batch.pending if id(order) not in held_ids]
         self.withheld += held
--- a/cedarshift/platform/service.py
+++ b/cedarshift/platform/service.py
@@ -98,7 +98,7 @@
             self._on_order_rejected,
             self._on_batch_done,
             lambda: bool(self.proxies),
-            lambda: self.brain.may_grant(self._now()),
+            lambda slice_id: self.brain.may_grant(self._now(), slice_id),
             report,
         )
         self.events = RelayEvents(loop, config.relay, self, report, random)
@@ -239,9 +239,11 @@
             or self.calls.is_withheld(slice_id)
         }
         self.resync_silence_us = silence_us if uncertain or unconfirmed else 0
-        self._renew_assignments(requested_at)
+        returned = self.missing_slices & set(slices)  # missing in the previous snapshot, which was incomplete
         self.missing_proxies = set(self.proxies) - set(proxies)
         self.missing_slices = set(self.slices) - set(slices)
+        self._renew_assignments(requested_at)
+        self.brain.on_slices_in_doubt(self._now(), self.missing_slices)
         for proxy, zone in sorted(proxies.items()):
             self.on_join(proxy, zone)
         reassigned = [
@@ -249,6 +251,8 @@
             for slice_id, endpoint in sorted(slices.items())
             if slice_id not in uncertain
             and not self._is_unchanged(slice_id, endpoint, silence_us, requested_at)
+            or slice_id in returned
+            and self._is_handed_over(slice_id, endpoint)
         ]
         for slice_id, endpoint in reassigned:
             self._reassign(slice_id, endpoint)
@@ -316,6 +320,15 @@
             or self.slices[slice_id] == endpoint
         )
 
+    def _is_handed_over(self, slice_id: int, endpoint: str) -> bool:
+        """Whether a slice is not just owned by the store's `endpoint`, as far as is known."""
+        return (
+            endpoint == ""
+            or slice_id in self.reopen_orders
+            or bool(self.calls.pending_for(slice_id))
+            or self.slices.get(slice_id) != endpoint
+        )
+
     def _reassign(self, slice_id: int, endpoint: str) -> None:
         """Treats the slice as newly assigned, with the store's `endpoint` as its owner ("" for none).
 
--- a/tests/test_assignment_lease.py
+++ b/tests/test_assignment_lease.py
@@ -149,3 +149,28 @@
     stage.run(5)
     assert "admit,0,put,0,0" in stage.orders() and "share,0,a,0" in stage.orders()
     assert not any(order.startswith("share,0,b") for order in stage.orders())
+
+
+# A snapshot that lacked a slice and broke off counted as news of all slices.
+@pytest.mark.parametrize("line", ["a", ""])
+def test_a_slice_that_an_incomplete_snapshot_lacks_is_not_granted_and_is_given_anew(line):
+    stage = stage_with_hand_over(settled_in=0.3)
+    handed_over = stage.brain.slices[0]
+    stage.heartbeats = False
+    stage.relay.set_snapshot(slices={1: "b", 2: "a", 3: "b"})
+    stage.relay.cut()
+    stage.run(0.2)
+    assert len(stage.logged("standing")) == 2 and stage.brain.slices[0] is handed_over
+    break_stream(stage)
+    stage.run(0.15)
+    assert GRANT not in stage.orders()
+    stage.pilot.log_hand_overs()
+    assert stage.logged("grants_wait")[-1]["slices"] == 1
+    stage.pilot.slices[0] = line  # as if it was ordered before
+    restore_stream(stage, slices={**OWNERS, 0: line})
+    while len(stage.logged("standing")) < 3:
+        stage.run(0.01)
+    assert stage.logged("standing")[2]["silent_ms"] < 700 and stage.brain.slices[0] is not handed_over
+    stage.heartbeats = True
+    stage.run(1)
+    assert GRANT not in stage.orders()
