A revoke that the relay may have dropped no longer counts as in force

Callers could see two owners' writes of a slice: a pilot without news empties a slice 0.9 s after the break, when another pilot has it. The relay drops that order and counts it as taken. The other pilot empties the slice later, it comes back empty, and the first one settles from its own order on.

Cause: _is_unchanged keeps the hand-over of a slice that is empty as ordered over a silence, without asking whether it was emptied before it could be away.

Change: with an order accepted later than 0.7 s into the silence the slice is given anew. The test's case of 0.9 s failed before, its case of 0.3 s is kept as before.

--- a/cedarshift/platform/service.py
+++ b/cedarshift/platform/service.py
@@ -72,6 +72,7 @@
         self.accepted_at: dict[int, int] = {}  # slice -> when its latest order was accepted (us)
         self.missing_proxies: set[int] = set()  # joined, but not in the current snapshot so far
         self.missing_slices: set[int] = set()  # assigned, but not in the current snapshot so far
+        self.silent_since = 0  # loop time (us) at which the silence before the newest snapshot began
         self.resync_silence_us = 0  # silence before a snapshot that has to be requested again; 0 if none
         self.reopen_orders: dict[int, str] = {}  # slice with blocked op types -> order that admits them again
         self.held_lines: set[int] = set()  # slices whose line was set again with op types still blocked
@@ -226,7 +227,9 @@
         After a long silence, a slice with an order accepted since `requested_at` or still pending may have
         an outdated line in the snapshot: the snapshot is then requested again, and no orders are sent
         until it arrives. Missing proxies and slices are removed only in `on_snapshot_complete`."""
-        silence_us = max(silence_us, self.resync_silence_us)
+        silent_since = self.loop.now() - silence_us
+        self.silent_since = min(silent_since, self.silent_since) if self.resync_silence_us else silent_since
+        silence_us = self.loop.now() - self.silent_since
         uncertain = {
             slice_id
             for slice_id in slices
@@ -309,11 +312,13 @@
         if silence_us >= MIN_TAKEOVER_GAP_US and in_hand_over:
             # The slice may have been reassigned and returned, with its op types admitted again. Only an empty
             # line, which another pilot would not have granted yet, counts as unchanged; a reset would forget
-            # which proxies may still write.
+            # which proxies may still write. It must have been emptied before the slice could be away, as the
+            # relay accepts and drops orders for other pilots' slices.
             return (
                 not pending_orders
                 and endpoint == self.slices[slice_id] == ""
                 and silence_us < self.regrant_wait_us
+                and not self._accepted_since(slice_id, self.silent_since + MIN_TAKEOVER_GAP_US)
             )
         return (
             bool(pending_orders)
--- a/tests/test_assignment_lease.py
+++ b/tests/test_assignment_lease.py
@@ -198,3 +198,19 @@
     while len(stage.logged("standing")) < 2:
         stage.run(0.01)
     assert (stage.brain.slices[0] is emptied) is kept
+
+
+# The relay drops what is ordered while another pilot has the slice, and counts it as taken.
+@pytest.mark.parametrize("ordered_after, kept", [(0.3, True), (0.9, False)])
+def test_a_revoke_accepted_while_the_slice_may_have_been_away_proves_nothing(ordered_after, kept):
+    stage = Stage(proxies=()).run(1)
+    break_stream(stage)
+    stage.run(ordered_after)
+    emptied = empty_slice(stage)
+    stage.run(1.2 - ordered_after)
+    assert stage.pilot.slices[0] == ""
+    restore_stream(stage, proxies=(), slices={**OWNERS, 0: ""})
+    while len(stage.logged("standing")) < 2:
+        stage.run(0.01)
+    assert stage.logged("standing")[1]["silent_ms"] < 1800
+    assert (stage.brain.slices[0] is emptied) is kept
