--- a/cedarshift/platform/service.py
+++ b/cedarshift/platform/service.py
@@ -16,21 +16,21 @@
 from cedarshift.codec.platform.config import PilotConfig
 from cedarshift.codec.platform.entries import EndpointList
 from cedarshift.codec.platform.errors import InvalidMessage
-from cedarshift.diagnostics import HandOverWait
 from cedarshift.interface import pull_decisions
 from cedarshift.loop import Loop
 from cedarshift.loop.core import Coroutine
 from cedarshift.platform.collectors import Collectors, Limits
 from cedarshift.platform.discovery import Discovery
+from cedarshift.platform.hand_over_log import HandOverLog
 from cedarshift.platform.reconnect import RandomSource, Report
-from cedarshift.platform.relay import MIN_TAKEOVER_GAP_US, OrderBatch, RelayCalls, RelayEvents
+from cedarshift.platform.relay import OrderBatch, RelayCalls
+from cedarshift.platform.relay_events import MIN_TAKEOVER_GAP_US, RelayEvents
 from cedarshift.platform.start_times import StartTimes
 
 TENTH_MS_US = 100  # 0.1 ms, the time unit of the decision module
 MAX_MARKS = 512  # most recent marks whose acks are processed
 FAULT_RETRY_US = 50_000  # delay after an exception in the decision module
 MAX_LOGGED_CHARS = 400  # of the orders or entries in one log line
-LATE_DIVISOR = 2  # a slice without a line is logged after 1/2 of the time that the settings allow
 SLOWEST_LOGGED = 5  # endpoints per log line
 
 
@@ -64,8 +64,8 @@
         self.op_types = [op.name for op in config.terms.op_types]
         self.slice_count = config.terms.slices
         self.zones = set(config.terms.zones)
-        self.late_after = config.terms.empty_for // LATE_DIVISOR  # 0.1 ms; 0 for no limit
         self.brain = Pilot(replace(config.terms, assignment_lease=MIN_TAKEOVER_GAP_US // TENTH_MS_US))
+        self.hand_over_log = HandOverLog(self.brain, config.terms.empty_for, report)
         self.proxies: dict[int, str] = {}
         self.slices: dict[int, str] = {}  # assigned slice -> owner in the store's table, "" for none
         self.awaiting_line: set[int] = set()  # newly assigned slices whose table line may still arrive
@@ -87,7 +87,6 @@
             "joins": 0,
             "leaves": 0,
         }
-        self.late_slices: set[int] = set()  # already logged as without a line for too long
         self.pulling = False
         self.stopped = False
         if config.initial_list is not None:
@@ -255,7 +254,7 @@
             if slice_id not in uncertain
             and not self._is_unchanged(slice_id, endpoint, silence_us, requested_at)
             or slice_id in returned
-            and self._is_handed_over(slice_id, endpoint)
+            and self._is_in_hand_over(slice_id, endpoint)
         ]
         for slice_id, endpoint in reassigned:
             self._reassign(slice_id, endpoint)
@@ -308,8 +307,7 @@
         if slice_id not in self.slices or self.calls.is_withheld(slice_id):
             return False
         pending_orders = self.calls.pending_for(slice_id)
-        in_hand_over = pending_orders or slice_id in self.reopen_orders or not endpoint
-        if silence_us >= MIN_TAKEOVER_GAP_US and in_hand_over:
+        if silence_us >= MIN_TAKEOVER_GAP_US and self._is_in_hand_over(slice_id, endpoint):
             # The slice may have been reassigned and returned, with its op types admitted again. Only an empty
             # line, which another pilot would not have granted yet, counts as unchanged; a reset would forget
             # which proxies may still write. It must have been emptied before the slice could be away, as the
@@ -326,14 +324,9 @@
             or self.slices[slice_id] == endpoint
         )
 
-    def _is_handed_over(self, slice_id: int, endpoint: str) -> bool:
-        """Whether a slice is not just owned by the store's `endpoint`, as far as is known."""
-        return (
-            endpoint == ""
-            or slice_id in self.reopen_orders
-            or bool(self.calls.pending_for(slice_id))
-            or self.slices.get(slice_id) != endpoint
-        )
+    def _is_in_hand_over(self, slice_id: int, endpoint: str) -> bool:
+        """Whether a slice, with the store's `endpoint` as its owner, may be in the middle of a hand-over."""
+        return not endpoint or slice_id in self.reopen_orders or bool(self.calls.pending_for(slice_id))
 
     def _reassign(self, slice_id: int, endpoint: str) -> None:
         """Treats the slice as newly assigned, with the store's `endpoint` as its owner ("" for none).
@@ -402,37 +395,12 @@
         ]
 
     def log_hand_overs(self) -> None:
-        """Logs pending hand-overs, and once each slice that has been without a line for `late_after`."""
-        waits = self.brain.hand_over_waits(self._now())
-        if waits:
-            without_line_count = sum(wait.without_line > 0 for wait in waits)
-            self.report(
-                "hand_overs",
-                under_way=len(waits),
-                without_line=without_line_count,
-                oldest=self._wait_fields(waits[0]),
-            )
-        self._log_waiting_grants()
-        late = [wait for wait in waits if self.late_after and wait.without_line >= self.late_after]
-        for wait in late:
-            if wait.slice_id not in self.late_slices:
-                self.report("slice_without_line", **self._wait_fields(wait))
-        self.late_slices = {wait.slice_id for wait in late}
-
-    def _log_waiting_grants(self) -> None:
-        """Logs the grants that wait until it is known that no other pilot has had their slices."""
-        ages = self.brain.grants_waiting(self._now())
-        if ages or self.calls.withheld:
-            self.report(
-                "grants_wait",
-                slices=len(ages),
-                longest_ms=max(ages, default=0) // 10,
-                withheld=len(self.calls.withheld),
-                silent_ms=(self.loop.now() - self.events.updated_at) // 1000,
-            )
-
-    def _wait_fields(self, wait: HandOverWait) -> dict[str, object]:
-        return wait.fields(self.brain.awaited(wait.slice_id))
+        """Logs pending hand-overs, and grants that wait for events."""
+        now = self._now()
+        self.hand_over_log.write_hand_overs(now)
+        self.hand_over_log.write_waiting_grants(
+            now, len(self.calls.withheld), self.loop.now() - self.events.updated_at
+        )
 
     # ---- decisions
 
--- a/tests/test_assignment_lease.py
+++ b/tests/test_assignment_lease.py
@@ -4,7 +4,8 @@
 from platform_parts import Stage, instance, listing
 
 from cedarshift.observations import OWNED, REVOKING, SETTLING
-from cedarshift.platform.relay import MIN_ACK_WAIT_US, RETRY_MAX_DELAY_US, SILENCE_TIMEOUT_US
+from cedarshift.platform.relay import MIN_ACK_WAIT_US, RETRY_MAX_DELAY_US
+from cedarshift.platform.relay_events import SILENCE_TIMEOUT_US
 
 GRANT, DRAIN = "share,0,b,1", "share,2,a,0"
 OWNERS = {0: "a", 1: "b", 2: "a", 3: "b"}
