A batch that is not urgent waits for grants that the next heartbeat allows

Cause: where heartbeats are all that comes, a grant may not leave in the last 0.3 s before one. A batch with something else left meanwhile, and the grant had to wait until the channel was free again.

Change: a batch without anything that a rule asks for waits while a grant is due and the next heartbeat is not overdue (1.1 s after the last news). Urgent steps leave at once, and without news all else leaves after that. The new test failed before in both cases.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -135,7 +135,9 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.stops = WriteStops(self.lease, config.transit_most, self.settle_time)
         self.proxies = self.stops.proxies
-        self.assignments = AssignmentLease(config.assignment_lease if self.single_owner else 0)
+        self.assignments = AssignmentLease(
+            config.assignment_lease if self.single_owner else 0, config.renewal_most
+        )
         # A slice without a line for longer is assigned to its former owner again, closed to all ops.
         # A move that waits for longer is aborted.
         self.hand_over_timeout = (
@@ -965,6 +967,8 @@
         ):
             self.counts.waits_for_acks += 1
             return
+        if self._should_wait_for_grants(due, now):
+            return
         if now - channel.sent_at >= 2 * channel.min_interval:  # keeps moves from delaying a drain
             due += self._current_moves(now)
         revoked = {
@@ -994,6 +998,14 @@
         else:
             self.mark = (self.mark - 1) % MARK_MODULUS  # nothing fitted: unsent marks would use up the ring
 
+    def _should_wait_for_grants(self, due: list[tuple], now: int) -> bool:
+        """Whether a batch should wait for grants that may be sent as soon as the lease is renewed.
+
+        They would otherwise have to wait until the batch has left the channel.
+        """
+        urgent = any(urgency == 0 for urgency, *_ in due)
+        return not urgent and self.assignments.is_due_for_renewal(now) and bool(self.grants_waiting(now))
+
     def _needs_barrier(self, revoked: Collection[Slice], now: int) -> bool:
         """Whether a mark is needed even without lines, so that awaited proxies can acknowledge a revoke.
 
--- a/cedarshift/interface.py
+++ b/cedarshift/interface.py
@@ -71,6 +71,7 @@
     report_period: int = 0  # between two reports of a proxy
     lease: int = 0  # how long a proxy may use its tables after it lost its stream
     assignment_lease: int = 0  # how long the store leaves slices with a pilot it can't reach; 0: no limit
+    renewal_most: int = 0  # longest time between two renewals of that lease while the store can be reached
     in_flight_most: int = 0  # longest time that an op may be in flight after its proxy sent it
     drain_grace: int = 0  # within which an endpoint that drains or is gone must be left
     empty_for: int = 0  # longest time that a joined proxy may be without a line of a slice; 0: no limit
--- a/cedarshift/judge/assignment_lease.py
+++ b/cedarshift/judge/assignment_lease.py
@@ -19,11 +19,13 @@
     """A pilot's lease on its slices. Times are in 0.1 ms.
 
     `duration`: how long the store leaves slices with a pilot that it cannot reach. 0 for no limit, where the
-    store itself rejects orders from before an assignment.
+    store itself rejects orders from before an assignment. `max_interval`: longest time between two renewals
+    while the store can be reached; it may be longer than `duration`.
     """
 
-    def __init__(self, duration: int) -> None:
+    def __init__(self, duration: int, max_interval: int) -> None:
         self.duration = duration
+        self.max_interval = max_interval
         self.renewed_at: Optional[int] = None
         self.in_doubt: set[int] = set()  # slices that the lease does not cover
 
@@ -38,3 +40,7 @@
         if self.renewed_at is None or slice_id in self.in_doubt:
             return False
         return now - self.renewed_at < self.duration
+
+    def is_due_for_renewal(self, now: int) -> bool:
+        """Whether the lease has run out, and is renewed soon if the store can be reached."""
+        return self.renewed_at is not None and self.duration <= now - self.renewed_at < self.max_interval
--- a/cedarshift/platform/service.py
+++ b/cedarshift/platform/service.py
@@ -24,7 +24,7 @@
 from cedarshift.platform.hand_over_log import HandOverLog
 from cedarshift.platform.reconnect import RandomSource, Report
 from cedarshift.platform.relay import OrderBatch, RelayCalls
-from cedarshift.platform.relay_events import MIN_TAKEOVER_GAP_US, RelayEvents
+from cedarshift.platform.relay_events import MAX_HEARTBEAT_INTERVAL_US, MIN_TAKEOVER_GAP_US, RelayEvents
 from cedarshift.platform.start_times import StartTimes
 
 TENTH_MS_US = 100  # 0.1 ms, the time unit of the decision module
@@ -64,7 +64,12 @@
         self.op_types = [op.name for op in config.terms.op_types]
         self.slice_count = config.terms.slices
         self.zones = set(config.terms.zones)
-        self.brain = Pilot(replace(config.terms, assignment_lease=MIN_TAKEOVER_GAP_US // TENTH_MS_US))
+        terms = replace(
+            config.terms,
+            assignment_lease=MIN_TAKEOVER_GAP_US // TENTH_MS_US,
+            renewal_most=MAX_HEARTBEAT_INTERVAL_US // TENTH_MS_US,
+        )
+        self.brain = Pilot(terms)
         self.hand_over_log = HandOverLog(self.brain, config.terms.empty_for, report)
         self.proxies: dict[int, str] = {}
         self.slices: dict[int, str] = {}  # assigned slice -> owner in the store's table, "" for none
--- a/tests/test_assignment_lease.py
+++ b/tests/test_assignment_lease.py
@@ -74,6 +74,22 @@
     assert GRANT in stage.orders()
 
 
+@pytest.mark.parametrize("renewed", [True, False])
+def test_a_batch_waits_for_a_grant_until_the_next_heartbeat_is_overdue(renewed):
+    stage = stage_with_hand_over(settled_in=0.7)
+    stage.brain.endpoints["a"].leave_reported_at = stage.pilot._now()
+    stage.heartbeats = False  # the last one was 0.1 s ago
+    stage.run(0.75)
+    stage.brain.level = 0.8  # has a level sent to all proxies, which is not urgent
+    stage.run(0.15)
+    assert not any(order.startswith("admit,*") for order in stage.orders())
+    if renewed:
+        stage.relay._write(":\n\n")
+    stage.run(0.3)
+    batch = next(orders for _, orders in stage.relay.calls if any("admit,*" in order for order in orders))
+    assert (GRANT in batch) is renewed
+
+
 def test_a_heartbeat_on_time_shows_that_an_event_stream_is_current():
     stage = stage_with_hand_over(settled_in=0.9)
     stage.heartbeats = False  # the last one was 0.1 s ago
