The soak closes its servers' ports before it gives their block back

Seen: test_runs_side_by_side_get_different_ports failed once with eight workers: 175 of 199 reserved ports free.

Cause: the relay and the discovery of each soak run listened on after the run's block of ports was released; 12 runs leave 24 ports. Evidence: after test_soak alone 24 ports of the block can't be bound; "pytest tests/test_soak.py tests/test_ports.py" failed.

Change: the listeners are closed first. No check changes.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -28,6 +28,7 @@
 PROBE, ALIVE = frame(t="probe"), frame(t="alive")
 KILL_GRACE_S = 0.7  # earliest SIGKILL after SIGTERM
 READY_TIMEOUT_S = 10.0
+LOOP_STOP_TIMEOUT_S = 0.5  # a loop without timers left does not notice
 ANSWER_TIMEOUT_S = 3.0
 CLIENTS, BURST_CLIENTS, PROCESS_RUNS = 8, 60, 2
 RESET_TIMEOUT_S = 1.0  # for a reset to follow an end of stream on loopback
@@ -47,7 +48,15 @@
         self.relay, self.agent = Relay(self.loop, relay), ListAgent(self.loop, discovery)
         self.relay.set_snapshot()
         self.loop.spawn(self._send_updates(), "signs")
-        threading.Thread(target=self.loop.run, daemon=True).start()
+        self.thread = threading.Thread(target=self.loop.run, daemon=True)
+        self.thread.start()
+
+    def stop(self):
+        """Ends the loop and frees the servers' ports."""
+        self.loop.stop()
+        self.thread.join(LOOP_STOP_TIMEOUT_S)
+        self.relay.listener.close()
+        self.agent.listener.close()
 
     def _send_updates(self):
         revision = 8
@@ -114,7 +123,7 @@
         self.stopping = True
         for one in clients:
             one.join(ANSWER_TIMEOUT_S)
-        self.peers.loop.stop()
+        self.peers.stop()
         self.ports.release()
         self._read_log()
         return self.violations
