Membership logs when a life takes a later start than another of its name

The logs could not tell which of the two lives had raised it: the raise was silent, the only one of the membership's transitions that was.

--- a/cedarshift/gossip/service.py
+++ b/cedarshift/gossip/service.py
@@ -73,6 +73,7 @@
         self.window_datagrams = 0
         self.flooded = 0
         self.reported_drops = 0
+        self.reported_start = start
         self.was_superseded = False
         self.tasks = [
             loop.spawn(self._receive_loop(), "gossip"),
@@ -120,6 +121,9 @@
             if self.open_streams < MAX_OUTGOING_STREAMS:
                 self.open_streams += 1
                 self.loop.spawn(self._send_request(request), f"gossip to {request.name}")
+        if member.start != self.reported_start:
+            self.report("member_start_raised", start=member.start, before=self.reported_start)
+            self.reported_start = member.start
         if member.superseded and not self.was_superseded:
             self.was_superseded = True
             self.report("member_superseded", start=member.start)
