Of two lives of one name the older gives way once others are seen to know it

Callers: a pilot paused early and replaced by another process takes its name over again when it wakes; the later process falls silent in the membership. Cause: a life that hears of a later start raises its own above it until one of its own messages is answered. That others tell it its own life, which shows the same, did not count. Change: a message with the member's own life confirms it. Asking for the full state goes on until a reply, as before.

--- a/cedarshift/gossip/member.py
+++ b/cedarshift/gossip/member.py
@@ -155,7 +155,8 @@
         self.vouch_at = 1 << 62  # next renewal of vouchers
         self.refutations: list[int] = []  # times of recent refutations
         self.refute_at: Optional[int] = None
-        self.unconfirmed = True  # no reply received in this life yet
+        self.unanswered = True  # no reply received in this life yet
+        self.unconfirmed = True  # no proof yet that another member has received this life
         self.superseded = False
         self.left = False
         self.tokens_at = now
@@ -506,7 +507,7 @@
             address = self._route(name, now)
             if address is not None:
                 self._send(now, address, g.PING, name, self.detector.nonce())
-        if self.unconfirmed and now >= self.exchange_at:
+        if self.unanswered and now >= self.exchange_at:
             others = [name for name in self.table.names if name != self.me]
             if others:
                 self._exchange(now, self.rng.pick(others))
@@ -562,7 +563,7 @@
         elif body.kind == g.FULL_STATE:
             return self.full_state(now, g.FULL_STATE_REPLY)
         elif body.kind == g.FULL_STATE_REPLY:
-            self.unconfirmed = False
+            self._note_reply()
             self.exchanging_until = 0
         return None
 
@@ -582,11 +583,15 @@
         if relayed is not None and body.sender == relayed.about:
             self._send(now, relayed.asker, g.ACK, "", relayed.nonce, relayed.about)
             return
-        self.unconfirmed = False
+        self._note_reply()
         found = self.detector.on_answer(now, body.nonce)
         if found is not None:
             self._report(now, found)
 
+    def _note_reply(self) -> None:
+        self.unanswered = False
+        self.unconfirmed = False
+
     def _relay_probe(self, now: int, body: Body, source: Address) -> None:
         nonce = self.detector.nonce()
         address = self._route(body.subject, now)
@@ -660,9 +665,11 @@
                 self._announce()
             else:
                 self.superseded = True
-        elif word.start == self.start and word.incarnation > self.incarnation:
-            self.incarnation = word.incarnation
-            self._announce()
+        elif word.start == self.start:
+            self.unconfirmed = False  # the sender has received this life and knows of no later one
+            if word.incarnation > self.incarnation:
+                self.incarnation = word.incarnation
+                self._announce()
 
     # ---- full state exchange
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -406,6 +406,15 @@
     assert member.start == start and member.superseded is not unconfirmed
 
 
+def test_a_life_that_others_know_gives_way_though_its_own_probes_were_never_answered():
+    # Guards against an older process that wakes early in its life and takes the name from the later one.
+    member = Member("a", {one: (one, 1) for one in NAMES}, SEAL, SECOND, 5, 1, 0)
+    for seq, start in enumerate((5, 10), 1):
+        known = [MemberRecord("a", start, False, 0)]
+        member.on_datagram(seq, SEAL.close(body(seq=seq, members=known)), ("b", 1))
+    assert member.start == 5 and member.superseded
+
+
 def test_datagrams_stay_under_their_size_however_much_there_is_to_tell():
     names = {f"a-rather-long-name-{n:03d}": (f"h{n}", 1) for n in range(300)}
     member = Member(next(iter(names)), names, SEAL, SECOND, 5, 1, 0)
