Riders and the replay window of the membership get modules of their own

Change: gossip/riders.py and gossip/replay_window.py; names of their methods, nothing else. The import in tests/test_gossip.py follows.

--- a/cedarshift/gossip/member.py
+++ b/cedarshift/gossip/member.py
@@ -19,10 +19,11 @@
     InvalidMessage,
     MemberRecord,
     ObservationRecord,
-    RiderRecord,
     Seal,
     VerdictRecord,
 )
+from cedarshift.gossip.replay_window import ReplayWindow
+from cedarshift.gossip.riders import Riders
 from cedarshift.judge.chance import Lcg
 from cedarshift.judge.detector import NACK_TIMEOUT_PERIODS, Detector, ProbeRequest, Reachability
 from cedarshift.judge.roll import DEAD, UNHEARD, VOUCHER_PERIODS, Change, Edge, MemberTable, Verdict, Word
@@ -40,7 +41,6 @@
 MAX_REFUTATION_DELAY_PERIODS = 32  # of a member that is repeatedly declared dead
 REFUTATION_MEMORY_PERIODS = 60.0  # for which past refutations count towards the delay
 MAX_DATAGRAMS_PER_SUBJECT = 12  # sent per period
-REPLAY_WINDOW_SIZE = 64  # sequence numbers per sender
 LEAVE_RECIPIENTS = 12  # members notified directly of a departure
 MAX_RECORDS_BYTES = g.MAX_DATAGRAM_BYTES - g.HEADER.size - 150  # in one datagram, besides the fixed fields
 
@@ -69,41 +69,6 @@
     sent: int
 
 
-class Rider(NamedTuple):
-    """Application payload of a member that travels with its messages. `at`: its local time of origin (us)."""
-
-    start: int
-    seq: int
-    at: int
-    payload: bytes
-
-
-class ReplayWindow:
-    """Anti-replay window over the sequence numbers of one sender (RFC 4303, section 3.4.3)."""
-
-    def __init__(self) -> None:
-        self.start = -1
-        self.newest = 0
-        self.seen = 0
-
-    def accept(self, start: int, seq: int) -> bool:
-        """Record a sequence number; return False if it is a duplicate or too old."""
-        if start != self.start:
-            if start < self.start:
-                return False
-            self.start, self.newest, self.seen = start, seq, 1
-            return True
-        ahead = seq - self.newest
-        if ahead > 0:
-            self.seen = (self.seen << min(ahead, REPLAY_WINDOW_SIZE) | 1) & ((1 << REPLAY_WINDOW_SIZE) - 1)
-            self.newest = seq
-            return True
-        if -ahead >= REPLAY_WINDOW_SIZE or self.seen >> -ahead & 1:
-            return False
-        self.seen |= 1 << -ahead
-        return True
-
-
 class Member:
     """One member of the gossip group.
 
@@ -140,8 +105,7 @@
         self.max_transmissions = MIN_TRANSMISSIONS + math.ceil(
             TRANSMISSIONS_PER_LOG2_MEMBERS * math.log2(len(addresses) + 1)
         )
-        self.riders: dict[str, Rider] = {}  # newest per member, including this one
-        self.rider_queue: OrderedDict[str, int] = OrderedDict()  # member -> transmissions left
+        self.riders = Riders(me, self.max_transmissions)
         self.seq = 0
         self.edge_seq = 0
         self.relayed_probes: dict[int, RelayedProbe] = {}
@@ -386,7 +350,7 @@
         for key in self._records_about(to):
             available -= self._encoded_size(key)
             chosen[key] = None
-        available = self._add_riders(body, available, now, [self.me])
+        available = self.riders.add_own(body, available, now)
         for key in list(self.queue):
             size = self._encoded_size(key)
             if size > available:
@@ -397,52 +361,11 @@
             chosen[key] = None
             if heard:
                 self._count_transmission(key)
-        self._add_riders(body, available, now, list(self.rider_queue))
+        self.riders.add_queued(body, available, now)
         for key in chosen:
             self._add_record(body, key, now)
         return body
 
-    # ---- riders
-
-    def set_rider(self, now: int, payload: bytes) -> None:
-        """Set the payload that this member attaches to its messages."""
-        assert len(payload) <= g.MAX_RIDER_BYTES, len(payload)
-        previous = self.riders.get(self.me)
-        self.riders[self.me] = Rider(
-            self.start,
-            1 if previous is None or previous.start != self.start else previous.seq + 1,
-            now,
-            payload,
-        )
-
-    def _add_riders(self, body: Body, available: int, now: int, names: list[str]) -> int:
-        """Add the named riders that fit into `available` bytes; return the bytes left."""
-        for name in names:
-            rider = self.riders.get(name)
-            size = 0 if rider is None else len(name) + len(rider.payload) + 35  # upper bound
-            if rider is None or size > available:
-                continue
-            available -= size
-            body.riders = [
-                *body.riders,
-                RiderRecord(name, rider.start, rider.seq, max(0, now - rider.at), rider.payload),
-            ]
-            if name in self.rider_queue:
-                self.rider_queue[name] -= 1
-                self.rider_queue.move_to_end(name)
-                if self.rider_queue[name] <= 0:
-                    del self.rider_queue[name]
-        return available
-
-    def _merge_rider(self, now: int, record: RiderRecord) -> None:
-        if record.name == self.me or record.name not in self.routes:
-            return
-        held = self.riders.get(record.name)
-        if held is None or (record.start, record.seq) > (held.start, held.seq):
-            self.riders[record.name] = Rider(record.start, record.seq, now - record.age, record.payload)
-            self.rider_queue[record.name] = self.max_transmissions
-            self.rider_queue.move_to_end(record.name, last=False)
-
     def _records_about(self, to: str) -> list[tuple]:
         """Return the keys of the records about `to` itself."""
         keys: list[tuple] = [("w", to)] if to in self.table.words else []
@@ -621,7 +544,8 @@
             if table.merge_edge(now, observation.observer, observation.subject, edge):
                 self._enqueue(("e", observation.observer, observation.subject))
         for rider in body.riders:
-            self._merge_rider(now, rider)
+            if rider.name != self.me and rider.name in self.routes:
+                self.riders.merge(now, rider)
         for one in body.verdicts:
             self._merge_life(now, one.name, one.start, one.incarnation)
             verdict = Verdict(one.start, one.incarnation, one.side)
@@ -714,7 +638,11 @@
         body.verdicts = [VerdictRecord(name, *verdict) for name, verdict in self.table.verdicts.items()]
         return self.seal.close(body)
 
-    # ---- shutdown and status
+    # ---- riders, shutdown and status
+
+    def set_rider(self, now: int, payload: bytes) -> None:
+        """Set the payload that this member attaches to its messages."""
+        self.riders.set_own(now, self.start, payload)
 
     def leave(self, now: int) -> None:
         """Announce the departure to some members; nothing is handled afterwards."""
--- a/cedarshift/overload/pilot.py
+++ b/cedarshift/overload/pilot.py
@@ -228,7 +228,7 @@
     def _merge_other_reports(self) -> None:
         if self.membership is None:
             return
-        for name, rider in self.membership.member.riders.items():
+        for name, rider in self.membership.member.riders.newest.items():
             known = self.fleet_load.rows.get(name)
             if name == self.name or (
                 known is not None and (known.start, known.seq) == (rider.start, rider.seq)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -11,7 +11,8 @@
 from cedarshift.codec.gossip import Body, InvalidMessage, MemberRecord, Seal
 from cedarshift.deployment import InvalidFile, load
 from cedarshift.deployment.render import render
-from cedarshift.gossip.member import Member, ReplayWindow
+from cedarshift.gossip.member import Member
+from cedarshift.gossip.replay_window import ReplayWindow
 from cedarshift.gossip.service import Membership, MembershipConfig
 from cedarshift.judge.chance import Lcg
 from cedarshift.judge.detector import MAX_HEALTH_SCORE, MISSES_FOR_SILENCE, Detector, Reachability
