--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -211,23 +211,27 @@
     """A proxy that ignores orders breaks rules on every seed; without it none are broken."""
     days = os.path.dirname(__file__) + "/../cedarshift/rehearsal/days/"
     (tmp_path / "deployment-tiles.hcl").write_text(open(days + "deployment-tiles.hcl").read())
-    sound = DAY.split('  fault "kill_pilot"')[0]
+    # The drain begins when the proxies have their tables, and enough slices get writes from both proxies.
+    day = DAY.split('  fault "kill_pilot"')[0].replace('length = "6s"', 'length = "8s"')
+    day = day.replace("rate = 30", "rate = 120")
     deaf = """  fault "bad_proxy" {
     at = "0s"
     how = "deaf"
   }
-  fault "shrink" {
-    at = "100ms"
+"""
+    shrink = """  fault "shrink" {
+    at = "1s"
     drain = "4500ms"
   }
 }
 """
-    for name, text, broken in (("sound", sound + "}\n", 0), ("deaf", sound + deaf, 2)):
+    for name, text, broken in (("sound", day + shrink, 0), ("deaf", day + deaf + shrink, 2)):
         path, out = tmp_path / f"{name}.hcl", tmp_path / f"out-{name}"
-        path.write_text(text.replace('length = "6s"', 'length = "5s"'))
+        path.write_text(text)
         found = hunt(str(path), [1, 2], 2, str(out), lambda text: None)
         assert found["seeds"] == 2 and len(found["bad"]) == broken == len(os.listdir(out)), found
         assert len(found["again"]) == broken
+        assert all("one-owner" in one["broken"] for one in found["bad"]), found
 
 
 @pytest.mark.parametrize("seeds", ["", "a", "9-1", "1-", "-3"])
