A member that answers at another address than its configured one is probed there

Callers: where a pilot's gossip address differs from the one in the others' files, each of them reports it as silent every few seconds; members shows it as suspect. Cause: after two lost probes the address that the member's datagrams came from was tried at random; its answer took the doubt away, and the next probes went to the configured one again. Change: the address that answers a probe sent to it is kept until the member is doubted again. The routes are a class of their own.

--- a/cedarshift/gossip/member.py
+++ b/cedarshift/gossip/member.py
@@ -24,12 +24,11 @@
 )
 from cedarshift.gossip.replay_window import ReplayWindow
 from cedarshift.gossip.riders import Riders
+from cedarshift.gossip.routes import Address, Routes
 from cedarshift.judge.chance import Lcg
 from cedarshift.judge.detector import NACK_TIMEOUT_PERIODS, Detector, ProbeRequest, Reachability
 from cedarshift.judge.roll import DEAD, UNHEARD, VOUCHER_PERIODS, Change, Edge, MemberTable, Verdict, Word
 
-Address = tuple[str, int]
-
 MIN_TRANSMISSIONS = 6  # times a record is sent in the smallest fleet
 TRANSMISSIONS_PER_LOG2_MEMBERS = 0.5  # further transmissions in larger fleets
 MAX_UPDATES_PER_PERIOD = 4  # evaluations of the member table
@@ -45,13 +44,6 @@
 MAX_RECORDS_BYTES = g.MAX_DATAGRAM_BYTES - g.HEADER.size - 150  # in one datagram, besides the fixed fields
 
 
-class Routes(NamedTuple):
-    """Addresses of a member: the configured one, and the source of its newest datagram."""
-
-    configured: Optional[Address]
-    seen: Optional[Address]
-
-
 class StreamRequest(NamedTuple):
     """A stream to open to `address`. `data`: the sealed first frame. The reply goes to `Member.on_frame`."""
 
@@ -97,7 +89,7 @@
         self.on_change = on_change
         self.table = MemberTable(me, addresses, period)
         self.detector = Detector(period, self.rng, now + self.rng.draw(period), self._usable, self._vouchers)
-        self.routes = {name: Routes(address, None) for name, address in addresses.items()}
+        self.routes = {name: Routes(address) for name, address in addresses.items()}
         self.windows: dict[str, ReplayWindow] = {}
         self.out: list[tuple[Address, bytes]] = []
         self.stream_requests: list[StreamRequest] = []
@@ -294,7 +286,8 @@
     # ---- sending
 
     def _send_probe(self, now: int, probe_request: ProbeRequest) -> None:
-        address = self._route(probe_request.to, now)
+        streamed = probe_request.how == "stream"
+        address = self._stream_route(probe_request.to) if streamed else self._route(probe_request.to)
         if address is None:
             return
         if probe_request.how == "ping":
@@ -312,16 +305,16 @@
                 )
             )
 
-    def _route(self, name: str, now: int) -> Optional[Address]:
-        """Return the configured address, or at random the last seen one if the member does not answer."""
-        routes = self.routes[name]
+    def _route(self, name: str) -> Optional[Address]:
+        return self.routes[name].choose(self.rng, self._is_doubted(name))
+
+    def _stream_route(self, name: str) -> Optional[Address]:
+        return self.routes[name].choose_for_stream(self.rng, self._is_doubted(name))
+
+    def _is_doubted(self, name: str) -> bool:
+        """Whether a member is not known to answer."""
         subject = self.detector.subjects.get(name)
-        doubted = self.table.states[name] in (UNHEARD, DEAD) or (
-            subject is not None and len(subject.missed) > 1
-        )
-        if routes.seen is not None and (routes.configured is None or (doubted and self.rng.draw(2))):
-            return routes.seen
-        return routes.configured
+        return self.table.states[name] in (UNHEARD, DEAD) or (subject is not None and len(subject.missed) > 1)
 
     def _send_burst(self) -> int:
         return MAX_DATAGRAMS_PER_SUBJECT * (self.table.rings.count + 2)
@@ -335,6 +328,8 @@
             self.counts["capped"] += 1
             return
         self.send_tokens -= 1
+        if kind in (g.PING, g.PING_REQUEST):
+            self.routes[to].probed = address
         sealed = self.seal.close(self._body(now, kind, to, nonce, about))
         self.counts["datagrams_sent"] += 1
         self.counts["bytes_sent"] += len(sealed)
@@ -427,7 +422,7 @@
         ]
         if absent:
             name = self.rng.pick(absent)
-            address = self._route(name, now)
+            address = self._route(name)
             if address is not None:
                 self._send(now, address, g.PING, name, self.detector.nonce())
         if self.unanswered and now >= self.exchange_at:
@@ -455,7 +450,7 @@
             self.counts["again"] += 1
             return
         self.detector.last_heard_at = now
-        self.routes[body.sender] = self.routes[body.sender]._replace(seen=source)
+        self.routes[body.sender].seen = source
         self._merge(now, body)
         self._compare_digest(now, body)
         if self.superseded:
@@ -463,6 +458,7 @@
         if body.kind == g.PING:
             self._send(now, source, g.ACK, body.sender, body.nonce, self.me)
         elif body.kind == g.ACK:
+            self.routes[body.sender].note_answer(source)
             self._on_ack(now, body)
         elif (
             body.kind == g.PING_REQUEST
@@ -517,7 +513,7 @@
 
     def _relay_probe(self, now: int, body: Body, source: Address) -> None:
         nonce = self.detector.nonce()
-        address = self._route(body.subject, now)
+        address = self._route(body.subject)
         if address is not None:
             self.relayed_probes[nonce] = RelayedProbe(source, body.nonce, body.subject, now)
             self._send(now, address, g.PING, body.subject, nonce)
@@ -617,7 +613,7 @@
         return self.table.digest ^ self.table.silence_digest
 
     def _exchange(self, now: int, name: str) -> None:
-        address = self._route(name, now)
+        address = self._stream_route(name)
         if address is None:
             return
         self.exchange_at = now + int(EXCHANGE_INTERVAL_PERIODS * self.period) + self.rng.draw(self.period)
@@ -652,7 +648,7 @@
         self._announce()
         recipients = self.rng.sample(self._usable(), LEAVE_RECIPIENTS)
         for name in [*recipients, *recipients]:  # twice, against packet loss
-            address = self.routes[name].configured or self.routes[name].seen
+            address = self.routes[name].preferred
             if address is not None:
                 self._send(now, address, g.UPDATE, name)
 
--- a/cedarshift/gossip/service.py
+++ b/cedarshift/gossip/service.py
@@ -10,7 +10,8 @@
 
 from cedarshift.codec import gossip as g
 from cedarshift.codec.gossip import InvalidMessage, Seal
-from cedarshift.gossip.member import Address, Member, StreamRequest
+from cedarshift.gossip.member import Member, StreamRequest
+from cedarshift.gossip.routes import Address
 from cedarshift.judge.roll import ALIVE, CUT, SUSPECT, Change
 from cedarshift.loop import Loop, StreamBroken, TimedOut, datagrams, dial, listen
 from cedarshift.loop.core import Coroutine, Waker
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -416,6 +416,27 @@
     assert member.start == 5 and member.superseded
 
 
+def test_a_member_that_answers_at_another_address_than_its_configured_one_is_not_reported():
+    # Guards against probes that go back to the configured address each time after an answer from another one.
+    addresses = {"a": ("a", 1), "b": ("b", 1)}
+    changes = []
+    member = Member("a", addresses, SEAL, SECOND, 5, 1, 0, lambda now, change: changes.append(change))
+    answers = [body(seq=1)]
+    for step in range(1, 4_000):
+        now = step * SECOND // 20
+        member.tick(now)
+        for one in answers:
+            member.on_datagram(now, SEAL.close(one), ("b", 2))
+        sent, member.out = [SEAL.open(data) for address, data in member.out if address == ("b", 2)], []
+        answers = [
+            body(kind=g.ACK, seq=step * 100 + at, nonce=one.nonce)
+            for at, one in enumerate(sent)
+            if one.kind == g.PING
+        ]
+    assert {change.after for change in changes if change.name == "b"} == {ALIVE}
+    assert member.detector.subjects["b"].has_answered
+
+
 def test_datagrams_stay_under_their_size_however_much_there_is_to_tell():
     names = {f"a-rather-long-name-{n:03d}": (f"h{n}", 1) for n in range(300)}
     member = Member(next(iter(names)), names, SEAL, SECOND, 5, 1, 0)
