--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -211,7 +211,7 @@
     """A proxy that ignores orders breaks rules on every seed; without it none are broken."""
     days = os.path.dirname(__file__) + "/../cedarshift/rehearsal/days/"
     (tmp_path / "deployment-tiles.hcl").write_text(open(days + "deployment-tiles.hcl").read())
-    # The drain begins when the proxies have their tables, and enough slices get writes from both proxies.
+    # A break needs a write at a slice's later owner before the deaf proxy writes to the former one.
     day = DAY.split('  fault "kill_pilot"')[0].replace('length = "6s"', 'length = "8s"')
     day = day.replace("rate = 30", "rate = 120")
     deaf = """  fault "bad_proxy" {
