--- a/review/stand/loopback.py
+++ b/review/stand/loopback.py
@@ -160,6 +160,7 @@
         self.told = {}  # endpoint -> when the pilot was told that it drains or is gone
         self.cut = False  # the relay can't be reached: nothing passes, nothing is said
         self.lost_at = None
+        self.told_at = 0.0  # when the relay last sent news
         # The outcome of a call: ok, ran-silent, lost-silent, ran-reset or lost-reset.
         self.choose = lambda orders: "ok"
         self.pauses = []  # (time, seconds) by which time limits wait
@@ -201,7 +202,6 @@
         self.samples = {}  # (endpoint, zone) -> [tries, errors, time]
         self.loads = {}  # (slice, class) -> count
         self.ended = False
-        self.heartbeat_at = 0.0  # when the relays last gave a sign of life
 
     # ---- the list
 
@@ -372,6 +372,7 @@
 
     def tell(self, pilot, name, data):
         if not pilot.cut:
+            pilot.told_at = self.now()
             for writer in list(pilot.news):
                 self.write(writer, event(name, data))
 
@@ -380,9 +381,9 @@
         while True:
             await asyncio.sleep(1.0)
             count += 1
-            self.heartbeat_at = self.now()
             for pilot in self.pilots:
                 if not pilot.cut:
+                    pilot.told_at = self.now()
                     for writer in list(pilot.news):
                         self.write(writer, chunk(":\n\n"))
                 if count % 2 == 0:
@@ -448,7 +449,7 @@
             self.fail("short queue", f"{waiting:.0f} lines wait in the channel of p{pilot.number}")
 
     def transit(self):
-        return min(self.site.transit_most, self.rng.uniform(0.5, 1.5) * self.site.transit)
+        return min(self.site.transit_most, (0.4 + self.rng.expovariate(1 / 0.6)) * self.site.transit)
 
     async def deliver(self, pilot, proxy, session, rows, mark, sent, at):
         await asyncio.sleep(max(0, at - self.now()))
