--- a/review/1/case.py
+++ b/review/1/case.py
@@ -33,7 +33,7 @@
 
 
 class Resets:
-    """Outcomes of calls: bursts of resets, each begun by a call that gives slices to endpoints."""
+    """Outcomes of calls: bursts of resets, each begun under a call that gives slices to endpoints."""
 
     def __init__(self, now):
         self.now = now
@@ -44,7 +44,7 @@
         gives = any(text.startswith("share,") and not text.endswith(",0") for text in orders)
         if gives and age >= BURST + PAUSE:
             self.began, age = self.now(), 0.0
-        return "lost-reset" if gives and age < BURST else "ok"
+        return "lost-reset" if age < BURST else "ok"
 
 
 async def play(world, trouble):
