--- a/review/stand/loopback.py
+++ b/review/stand/loopback.py
@@ -140,7 +140,7 @@
         self.number = number
         self.rows = rows
         self.joined = {}  # pilot -> time of joining
-        self.session = {}  # pilot -> number of the stream
+        self.stream = {}  # pilot -> number of the stream
         self.reading = 0.0  # until when the store is read
         self.write_until = {}  # slice -> end of the lease; absent: no limit
         self.messages = {}  # pilot -> times of the messages written
@@ -440,8 +440,8 @@
                     "short queue", f"{recent} messages to proxy {proxy.number} within {self.site.span} s"
                 )
             at = pilot.free_at + self.transit()
-            session = proxy.session[pilot.number]
-            self.spawn(self.deliver(pilot, proxy, session, rows, mark, now, at))
+            stream = proxy.stream[pilot.number]
+            self.spawn(self.deliver(pilot, proxy, stream, rows, mark, now, at))
         pilot.waiting = [(at, size) for at, size in pilot.waiting if at > now]
         waiting = sum(size for _, size in pilot.waiting)
         self.worst["lines"] = max(self.worst["lines"], waiting)
@@ -451,11 +451,11 @@
     def transit(self):
         return min(self.site.transit_most, (0.4 + self.rng.expovariate(1 / 0.6)) * self.site.transit)
 
-    async def deliver(self, pilot, proxy, session, rows, mark, sent, at):
+    async def deliver(self, pilot, proxy, stream, rows, mark, sent, at):
         await asyncio.sleep(max(0, at - self.now()))
         while proxy.reading > self.now():
             await asyncio.sleep(0.01)
-        if proxy.session[pilot.number] != session or pilot.number not in proxy.joined:
+        if proxy.stream[pilot.number] != stream or pilot.number not in proxy.joined:
             return
         for number, row in rows.items():
             self.install(proxy, number, row)
@@ -478,7 +478,7 @@
         if pilot.number in proxy.joined:
             return
         proxy.joined[pilot.number] = self.now()
-        proxy.session[pilot.number] = proxy.session.get(pilot.number, 0) + 1
+        proxy.stream[pilot.number] = proxy.stream.get(pilot.number, 0) + 1
         proxy.messages[pilot.number] = []
         self.tell(pilot, "hello", hello(proxy))
         self.spawn(self.read_store(proxy))
@@ -498,7 +498,7 @@
         """Breaks a stream; the relay notices it after a while."""
         if proxy.joined.pop(pilot.number, None) is None:
             return
-        proxy.session[pilot.number] += 1
+        proxy.stream[pilot.number] += 1
         proxy.empty_since.clear()
         for number in self.store:
             if self.charge[number] == pilot.number:
