--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,6 +11,7 @@
 BURST = 1.0  # s in which connections are reset, from the first one on
 PAUSE = 5.0  # s at least from one burst to the next
 AT_A_TIME = 3  # of 17 endpoints
+DRAIN = 4.5  # s from draining to gone
 LASTS = 34.0  # s
 SITE = Site(
     proxies=9,
@@ -28,6 +29,8 @@
     transit_most=0.37,
     warm_within=14.0,
     read_store=(0.083, 0.48),
+    heard_late=0.5,
+    intake=200.0,
     ops_per_s=210.0,
 )
 
@@ -55,7 +58,9 @@
     old = sorted(world.listed)[:AT_A_TIME]
     changes = [(name, "draining") for name in old]
     world.change_list(*changes, *((f"t-{n}", "ready") for n in range(AT_A_TIME)))
-    await asyncio.sleep(LASTS)
+    await asyncio.sleep(DRAIN)
+    world.change_list(*((name, "gone") for name in old))
+    await asyncio.sleep(LASTS - DRAIN)
 
 
-run_case(SITE, play, "nobody left without a server", Path(__file__).parent)
+run_case(SITE, play, "nobody left without a server", Path(__file__).parent / "record.txt")
--- a/review/stand/loopback.py
+++ b/review/stand/loopback.py
@@ -70,6 +70,8 @@
         self.ops_per_s = 210.0
         self.op_time = (0.2, 0.6)
         self.report_every = 1.0
+        self.heard_late = 0.5  # by how much sums come late
+        self.intake = 200.0  # lines of sums a second at most, the oldest first
         self.cold_from = 0.25
         self.fall_multiple = 2.5
         # name, target latency, op timeout, whether it writes; a class that writes must never run twice
@@ -348,6 +350,7 @@
             await reader.read()
             raise ConnectionError
         self.write(writer, response(text))
+        self.record(f"p{pilot.number} answered", len(orders))
 
     async def stream_news(self, pilot, reader, writer):
         self.record(f"p{pilot.number} news asked for")
@@ -373,6 +376,7 @@
     def tell(self, pilot, name, data):
         if not pilot.cut:
             pilot.told_at = self.now()
+            self.record(f"p{pilot.number} told", name, data)
             for writer in list(pilot.news):
                 self.write(writer, event(name, data))
 
@@ -535,7 +539,7 @@
 
     def end_cut(self, pilot):
         pilot.cut = False
-        self.record(f"p{pilot.number} can be reached again")
+        self.record(f"p{pilot.number} answers again")
 
     # ---- pilots
 
@@ -610,22 +614,22 @@
 
     async def op(self, proxy, number, kind):
         self.counts["ops"] += 1
+        number_of_op = self.counts["ops"]
         load = self.loads.setdefault((number, kind), [0, 0])
         load[0] += 1
         owner, grant, _, closed = proxy.rows[number]
         if not owner or kind in closed:
             load[1] += kind not in closed
+            self.record("op", number_of_op, f"proxy={proxy.number} slice={number} {kind} refused")
             return
         writes = kind in self.writing
         if writes and self.now() > proxy.write_until.get(number, NEVER):
             return
-        self.record("op", f"proxy={proxy.number} slice={number} {kind} to={owner}")
+        self.record("op", number_of_op, f"proxy={proxy.number} slice={number} {kind} to={owner}")
         self.check_drain(proxy, number, owner)
         zone = f"z{'abc'[proxy.number % 3]}"
-        sample = self.samples.setdefault((owner, zone), [0, 0, 0.0])
-        sample[0] += 1
         if self.listed[owner]["lifecycle"] == "gone":
-            sample[1] += 1
+            self.count_try(number_of_op, owner, zone, None)
             return
         if writes:
             self.check_write(number, owner, grant, proxy)
@@ -634,16 +638,21 @@
         began = self.now()
         took = self.rng.uniform(*self.site.op_time)
         await asyncio.sleep(3.0 if owner in self.stalled else took)
-        if owner in self.stalled:
-            sample[1] += 1
-        else:
-            sample[2] += self.now() - began
-            self.counts["answered"] += 1
+        self.count_try(number_of_op, owner, zone, None if owner in self.stalled else self.now() - began)
         if writes:
             held[owner] -= 1
             if not held[owner]:
                 del held[owner]
 
+    def count_try(self, number_of_op, owner, zone, took):
+        """Counts a try that was answered after a time, or failed."""
+        sample = self.samples.setdefault((owner, zone), [0, 0, 0.0])
+        sample[0] += 1
+        sample[1] += took is None
+        sample[2] += took or 0.0
+        self.counts["answered"] += took is not None
+        self.record("op", number_of_op, "failed" if took is None else "answered")
+
     def check_write(self, number, owner, grant, proxy):
         others = [name for name in self.writes[number] if name != owner]
         if others:
@@ -705,40 +714,45 @@
                         )
 
     async def collectors(self):
-        """Passes on sums each second, through one collector a zone."""
-        writers = {}
+        """Passes on sums, late and no more lines than allowed, through one collector a zone."""
+        writers, waiting = {}, {}  # waiting: sums not passed on yet, the oldest first
         while not self.ended:
             await asyncio.sleep(self.site.report_every)
-            samples, self.samples = self.samples, {}
-            loads, self.loads = self.loads, {}
-            for pilot in self.pilots:
-                try:
-                    for zone in ("za", "zb", "zc"):
-                        if (pilot.number, zone) not in writers:
-                            _, writer = await asyncio.open_connection(HOST, pilot.port)
-                            writers[pilot.number, zone] = writer
-                            writer.write(frame({"t": "agent", "locality": zone}))
-                    for (name, zone), (tries, errors, took) in samples.items():
+            for key, sums in [*self.samples.items(), *self.loads.items()]:
+                old = waiting.setdefault(key, [0] * len(sums) + [self.now() - self.site.report_every])
+                waiting[key] = [a + b for a, b in zip(old, sums)] + [old[-1]]
+            self.samples, self.loads = {}, {}
+            lines = []
+            for key in list(waiting)[: int(self.site.intake * self.site.report_every)]:
+                *sums, began = waiting.pop(key)
+                lines.append((key, sums, round(1000 * (self.now() - began), 1)))
+            self.spawn(self.pass_on(writers, lines))
+
+    async def pass_on(self, writers, lines):
+        await asyncio.sleep(self.site.heard_late)
+        for pilot in self.pilots:
+            try:
+                for zone in ("za", "zb", "zc"):
+                    if (pilot.number, zone) not in writers:
+                        _, writer = await asyncio.open_connection(HOST, pilot.port)
+                        writers[pilot.number, zone] = writer
+                        writer.write(frame({"t": "agent", "locality": zone}))
+                for key, sums, interval in lines:
+                    if len(sums) == 3:
+                        (name, zone), (tries, errors, took) = key, sums
                         acked = tries - errors
-                        message = {
-                            "t": "outcomes",
-                            "locality": zone,
-                            "endpoint": name,
-                            "total": tries,
-                            "errors": errors,
-                            "rtt": 1000 * took / acked if acked and took else 0,
-                            "interval": 1000 * self.site.report_every,
-                            "metrics": {},
-                        }
-                        writers[pilot.number, zone].write(frame(message))
-                    for (number, kind), (total, errors) in loads.items():
-                        if self.charge[number] == pilot.number:
-                            message = {"t": "hot", "shard": number, "route": kind, "total": total}
-                            message |= {"errors": errors, "interval": 1000 * self.site.report_every}
-                            writers[pilot.number, "za"].write(frame(message))
-                except (OSError, RuntimeError):
-                    for key in [key for key in writers if key[0] == pilot.number]:
-                        del writers[key]
+                        message = {"t": "outcomes", "locality": zone, "endpoint": name, "total": tries}
+                        message |= {"rtt": 1000 * took / acked if acked and took else 0, "metrics": {}}
+                    else:
+                        (number, kind), (tries, errors), zone = key, sums, "za"
+                        if self.charge[number] != pilot.number:
+                            continue
+                        message = {"t": "hot", "shard": number, "route": kind, "total": tries}
+                    message |= {"errors": errors, "interval": interval}
+                    writers[pilot.number, zone].write(frame(message))
+            except (OSError, RuntimeError):
+                for key in [key for key in writers if key[0] == pilot.number]:
+                    del writers[key]
 
     async def end(self):
         self.ended = True
@@ -788,16 +802,19 @@
         return one.getsockname()[1]
 
 
-def run_case(site, play, rule, folder, seed=1):
+def run_case(site, play, rule, record, seed=1):
     """Plays a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
-    `play(world, trouble)` is a coroutine; `trouble` is False where the environment says TROUBLE=0.
+    `play(world, trouble)` is a coroutine; `trouble` is False where TROUBLE=0 is set. `record` is
+    the file of what was sent, answered and run. All processes are ended, also at SIGTERM and after 110 s.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def whole():
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
-            world = World(site, temporary, Path(folder) / "record.txt", seed)
+            world = World(site, temporary, record, seed)
             try:
                 await world.start()
                 for pilot in world.pilots:
@@ -808,9 +825,12 @@
                 await world.end()
         return world, dead
 
+    async def bounded():
+        return await asyncio.wait_for(whole(), 110)
+
     try:
-        world, dead = asyncio.run(asyncio.wait_for(whole(), 110))
-    except Exception:
+        world, dead = asyncio.run(bounded())
+    except BaseException:
         traceback.print_exc()
         sys.exit(2)
     found = [text for name, text in world.broken if name == rule]
