A draining owner loses its line in the grace also while the grant waits

What callers saw: by a forced test, reads went on to a draining endpoint for as long as the event stream was down (5 s in the probe, 3 s allowed), though calls got through.

Cause: Pilot._due removed an overdue owner's line only in the states before the grant is due. Since grants wait for the lease on assignments, a slice can stay in the state after them, with its line.

Evidence: test_a_draining_owner_loses_its_line_in_the_grace_while_the_grant_waits, both cases failed before (no share,0,a,0 among the orders within the grace), and pass now. Why it works: the line goes when the owner is overdue and no grant, which would replace the line, may leave now. An order that removes a line is safe whoever has the slice.

test_a_lost_grant_is_not_sent_again_over_a_dead_event_stream picked its batch by an order that the module decides as well now (its owner a drains and is overdue); it picks it by its mark, with the same assertions. test_assignment_lease: 25 passed.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -820,7 +820,7 @@
                 due.append((urgency, number, "revoke", None))
             elif s.grant_in_doubt and self._is_unfit(s.target, now):
                 due.append((0 if overdue else 1, number, "retract", None))
-            elif s.state in (REVOKING, SETTLING) and s.has_line and overdue:
+            elif s.has_line and overdue and (s.state != EMPTY or not self.may_grant(now, number)):
                 due.append((0, number, "clear", None))
             elif not self.may_grant(now, number):
                 continue
--- a/tests/test_assignment_lease.py
+++ b/tests/test_assignment_lease.py
@@ -3,9 +3,10 @@
 import pytest
 from platform_parts import Stage, instance, listing
 
-from cedarshift.observations import REVOKING, SETTLING
+from cedarshift.observations import EMPTY, REVOKING, SETTLING
 from cedarshift.platform.relay import MIN_ACK_WAIT_US, RETRY_MAX_DELAY_US
 from cedarshift.platform.relay_events import SILENCE_TIMEOUT_US
+from cedarshift.platform.service import TENTH_MS_US
 
 GRANT, DRAIN = "share,0,b,1", "share,2,a,0"
 OWNERS = {0: "a", 1: "b", 2: "a", 3: "b"}
@@ -127,7 +128,7 @@
     lose_grant(stage, ("line", 2, "a", 0))
     break_stream(stage)
     stage.run(3)
-    call_orders = [orders for _, orders in stage.relay.calls if DRAIN in orders]
+    call_orders = [orders for _, orders in stage.relay.calls if "mark,9,1" in orders]
     assert call_orders[0] == [GRANT, "admit,0,put,1,0", DRAIN, "mark,9,1"]
     assert call_orders[-1] == [DRAIN, "mark,9,1"], "orders that close are sent again"
     assert len(stage.logged("grant_withheld")) == 2 and not stage.pilot.calls.busy
@@ -215,6 +216,25 @@
     assert not any(order.startswith("share,0,b") for order in stage.orders())
 
 
+# Once the settle time was over, a draining owner kept its line for as long as the grant waited for events.
+@pytest.mark.parametrize("withheld", [False, True])
+def test_a_draining_owner_loses_its_line_in_the_grace_while_the_grant_waits(withheld):
+    stage = Stage(proxies=()).run(2)
+    stage.agent.publish(listing(8, instance("a", "draining")))
+    told_at = stage.loop.now()
+    stage.run(0.15)
+    if withheld:
+        settled_at = stage.brain.slices[0].state_since + stage.brain.settle_time
+        while stage.pilot._now() < settled_at - 1_000:
+            stage.run(0.05)
+        stage.relay.script = ["silent"] * 2
+    break_stream(stage)
+    grace_end = told_at + stage.brain.drain_grace * TENTH_MS_US
+    stage.run((grace_end - stage.loop.now()) / 1e6)
+    assert bool(stage.logged("grant_withheld")) is withheld
+    assert "share,0,a,0" in stage.orders() and stage.brain.slices[0].state == EMPTY
+
+
 # A snapshot that lacked a slice and broke off counted as news of all slices.
 @pytest.mark.parametrize("line", ["a", ""])
 def test_a_slice_that_an_incomplete_snapshot_lacks_is_not_granted_and_is_given_anew(line):
