Tests: withheld orders that admit op types again, or that hold a line

Change: a test for each. Both fail at: there op types stay closed after the order that admits them was withheld (no admit,0,put,1,0 among the later orders), and the held line is revoked once more instead of being set again (share,0,a,0).

--- a/tests/test_assignment_lease.py
+++ b/tests/test_assignment_lease.py
@@ -1,7 +1,7 @@
 """Grants while a pilot cannot know whether the store has assigned its slices to another one meanwhile."""
 
 import pytest
-from platform_parts import Stage, instance, listing
+from platform_parts import SETTINGS, Stage, instance, listing
 
 from cedarshift.observations import EMPTY, REVOKING, SETTLING
 from cedarshift.platform.relay import MIN_ACK_WAIT_US, RETRY_MAX_DELAY_US
@@ -216,6 +216,46 @@
     assert not any(order.startswith("share,0,b") for order in stage.orders())
 
 
+# The op types stayed closed for good: the order that opens them was forgotten with the new assignment.
+def test_op_types_that_were_to_be_admitted_again_are_so_after_the_order_was_withheld():
+    stage = Stage().run(1)
+    s = stage.brain.slices[0]
+    s.state, s.target, s.mark, s.writes_closed = REVOKING, "b", 9, True
+    stage.brain.estimated_at = stage.pilot._now() + 10**9  # suppresses other decisions
+    stage.order(("level", 0, 2, 0, 0), ("mark", 9, True))
+    stage.run(0.1)
+    break_stream(stage)
+    stage.run(1.2)
+    stage.heartbeats, stage.relay.script = False, ["lost"] * 100
+    before = restore_stream(stage)
+    stage.run(2)
+    assert "admit,0,put,1,0" in stage.orders()[before:] and stage.logged("grant_withheld")
+    before = len(stage.orders())
+    stage.heartbeats, stage.relay.script = True, []
+    stage.run(1.5)
+    opening = [order for order in stage.orders()[before:] if order.startswith(("share,0", "admit,0"))]
+    assert "admit,0,put,1,0" in opening and not any(order.startswith("share") for order in opening)
+    assert stage.brain.slices[0].owner == "a" and not stage.pilot.reopen_orders
+
+
+# The closed line counted as set, so that nothing limited the time without one.
+def test_a_held_line_is_set_again_after_its_order_was_withheld():
+    family = {**SETTINGS["family_info"], "empty_for_ns": 8_000_000_000}
+    stage = Stage(settings={**SETTINGS, "family_info": family}).run(2)
+    stage.agent.publish(listing(8, instance("a", "draining")))
+    while not stage.brain._empty_too_long(stage.brain.slices[0], stage.pilot._now() + 1_000):
+        stage.run(0.05)
+    stage.heartbeats, stage.relay.script = False, ["lost"] * 3
+    stage.run(1.5)
+    assert {"order": "share,0,a,1"} in stage.logged("grant_withheld")
+    before = len(stage.orders())
+    stage.heartbeats = True
+    stage.run(1.5)
+    again = [order for order in stage.orders()[before:] if order.startswith(("share,0", "admit,0"))]
+    assert again == ["admit,0,*,0,0", "share,0,a,1"] and stage.brain.slices[0].line_restored
+    assert stage.pilot.events.counts["streams"] == 1
+
+
 # Once the settle time was over, a draining owner kept its line for as long as the grant waited for events.
 @pytest.mark.parametrize("withheld", [False, True])
 def test_a_draining_owner_loses_its_line_in_the_grace_while_the_grant_waits(withheld):
