The steps of a hand-over that close are told apart from those that open, in functions of their own

Cause: Pilot._due had grown to 50 lines, and which of its branches need the lease on assignments showed only by their order.

Change: _advance_state, _closing_step and _opening_step; no decision changes.

--- a/cedarshift/brain.py
+++ b/cedarshift/brain.py
@@ -795,47 +795,61 @@
         revokes. Also advances the states of slices whose proxies have stopped or whose ops have settled.
         """
         due: list[tuple[int, int, str, Optional[str]]] = []
-        stopped: dict[tuple, Optional[int]] = {}  # by batch of the revoke
+        stop_times: dict[tuple, Optional[int]] = {}
         healthy = {e.name for e in self.live if now >= e.sick_until}
         leave_reported: dict[int, float] = {}
         for s in [
             s for s in self._sorted_slices() if s.state != OWNED or s.owner not in healthy or s.all_closed
         ]:
-            number = s.number
-            leave_reported[number] = self._leave_reported_at(s)
-            overdue = now >= leave_reported[number] + self.grace - self.channel.estimated_delay
-            if s.state == REVOKING:
-                batch = (s.mark, s.state_since, s.assigned_at)
-                if batch not in stopped:
-                    stopped[batch] = self.stops.last_stop_time(s, now)
-                if (stopped_at := stopped[batch]) is not None:
-                    s.state, s.state_since, s.stopped_at = SETTLING, stopped_at, stopped_at
-            if s.state == SETTLING and now >= s.state_since + self.settle_time:
-                s.state = EMPTY
-            sound = not self._is_unfit(s.owner, now)
-            if s.state == OWNED and s.all_closed:
-                due.append((0, number, "shed", None))
-            elif s.state == OWNED and not sound:
-                urgency = 0 if overdue else 1 if self._must_leave(s.owner) else 2
-                due.append((urgency, number, "revoke", None))
-            elif s.grant_in_doubt and self._is_unfit(s.target, now):
-                due.append((0 if overdue else 1, number, "retract", None))
-            elif s.has_line and overdue and (s.state != EMPTY or not self.may_grant(now, number)):
-                due.append((0, number, "clear", None))
-            elif not self.may_grant(now, number):
-                continue
-            elif s.state in (REVOKING, SETTLING):
-                if self._should_abort_hand_over(s, now):
-                    due.append((1, number, "grant", s.owner))  # aborts the move
-                elif self._needs_restored_line(s, now):
-                    due.append((0, number, "hold", None))
-            elif s.state == EMPTY:
-                urgency = 0 if self._empty_too_long(s, now) else 1
-                due.append((urgency, number, "grant", s.target if s.grant_in_doubt else None))
+            leave_reported[s.number] = self._leave_reported_at(s)
+            overdue = now >= leave_reported[s.number] + self.grace - self.channel.estimated_delay
+            self._advance_state(s, now, stop_times)
+            if step := self._closing_step(s, now, overdue) or self._opening_step(s, now):
+                urgency, name, endpoint = step
+                due.append((urgency, s.number, name, endpoint))
         return sorted(
             due + self._cold_excess(now), key=lambda d: (d[0], leave_reported.get(d[1], math.inf), d[1])
         )
 
+    def _advance_state(self, s: Slice, now: int, stop_times: dict[tuple, Optional[int]]) -> None:
+        """Advances a slice whose proxies have stopped or whose ops have settled.
+
+        `stop_times` caches when all proxies had stopped, by the batch of the revoke.
+        """
+        if s.state == REVOKING:
+            batch = (s.mark, s.state_since, s.assigned_at)
+            if batch not in stop_times:
+                stop_times[batch] = self.stops.last_stop_time(s, now)
+            if (stopped_at := stop_times[batch]) is not None:
+                s.state, s.state_since, s.stopped_at = SETTLING, stopped_at, stopped_at
+        if s.state == SETTLING and now >= s.state_since + self.settle_time:
+            s.state = EMPTY
+
+    def _closing_step(self, s: Slice, now: int, overdue: bool) -> Optional[tuple[int, str, Optional[str]]]:
+        """The step that is due of those that are safe whoever has the slice: (urgency, step, endpoint)."""
+        if s.state == OWNED and s.all_closed:
+            return 0, "shed", None
+        if s.state == OWNED and self._is_unfit(s.owner, now):
+            return 0 if overdue else 1 if self._must_leave(s.owner) else 2, "revoke", None
+        if s.grant_in_doubt and self._is_unfit(s.target, now):
+            return 0 if overdue else 1, "retract", None
+        if s.has_line and overdue and (s.state != EMPTY or not self.may_grant(now, s.number)):
+            return 0, "clear", None
+        return None
+
+    def _opening_step(self, s: Slice, now: int) -> Optional[tuple[int, str, Optional[str]]]:
+        """The step that is due of those that need `may_grant`: (urgency, step, endpoint)."""
+        if not self.may_grant(now, s.number):
+            return None
+        if s.state in (REVOKING, SETTLING):
+            if self._should_abort_hand_over(s, now):
+                return 1, "grant", s.owner  # aborts the move
+            if self._needs_restored_line(s, now):
+                return 0, "hold", None
+        if s.state == EMPTY:
+            return 0 if self._empty_too_long(s, now) else 1, "grant", s.target if s.grant_in_doubt else None
+        return None
+
     def _cold_excess(self, now: int) -> list[tuple[int, int, str, Optional[str]]]:
         """Shed steps for the slices of cold endpoints that exceed their budgets."""
         due = []
