--- a/tests/test_lost_calls.py
+++ b/tests/test_lost_calls.py
@@ -42,7 +42,8 @@
 RELEASE_SIZE, RELEASE_INTERVAL, DRAIN_TIME = 3, 11.0, 4.5  # endpoints at a time; s; s
 CALL_DELAYS = {"lost": 0.5, APPLIED_AND_RESET: 0.5, "silent": 1.5, IGNORED: 1.5}  # s, by the protocol
 LOSSES = tuple(CALL_DELAYS)
-CI_SEEDS = range(1, 31)
+# The last ones have two owners where a withheld grant may go to any endpoint.
+CI_SEEDS = (*range(1, 31), 101, 135, 248)
 
 
 def grants(order):
@@ -62,7 +63,8 @@
         self.snapshot = self._snapshot()
 
     def seconds(self):
-        return self.loop.now() / SECOND
+        """Time since the start, on the clock of the model."""
+        return (self.loop.now() - self.began) / SECOND
 
     def _choose_outcome(self, orders):
         outcome = self.choose(self.seconds(), orders)
@@ -84,7 +86,6 @@
             yield from self.loop.sleep(int((length - TAKEOVER_DELAY) * SECOND))
             self.fleet.reassign_slices()
             self.away = False
-            self.delays.append((self.seconds(), STREAM_LOSS_DELAY))
         self.refuses_streams = False
 
 
