--- a/review/peers/platform_standin.py
+++ b/review/peers/platform_standin.py
@@ -120,9 +120,13 @@
         self.met = {}  # (zone, endpoint) -> [tries, errors, time]
         self.heat = {}  # (slice, class) -> [ops, errors]
         self.on_send = lambda now, proxy, number, name, endpoint, work: None
+        self.on_write = lambda now, number, endpoint, ends: None
+        self.on_table = lambda now, number: None
+        self.on_told = lambda now, endpoint: None
         self.unix_offset = time.time() - record.now()
         self.process = None
-        self.tasks = []
+        self.tasks: list[asyncio.Future] = []
+        self.writers: list[asyncio.StreamWriter] = []  # of every connection
 
     # ---- the relay
 
@@ -144,6 +148,7 @@
         return lines[0], (await reader.readexactly(length) if length else b"")
 
     async def relay(self, reader, writer):
+        self.writers.append(writer)
         try:
             while True:
                 line, body = await self.read_request(reader)
@@ -260,6 +265,7 @@
                     proxy.table[item[1]] = item[2]
                 elif proxy.table.get(item[1]) == item[2]:
                     proxy.table.pop(item[1])
+                self.on_table(self.record.now(), item[1])
             elif item[0] == "level":
                 for number in item[1]:
                     for name in item[2]:
@@ -274,6 +280,7 @@
         if lifecycle:
             endpoint.lifecycle = lifecycle
         self.generation += 1
+        self.on_told(self.record.now(), endpoint)
         entry = endpoint.entry(self.unix_offset)
         self.changes.append((self.generation, entry))
         self.record.write("discovery", f"{endpoint.name} {endpoint.lifecycle}")
@@ -289,6 +296,7 @@
         return {"generation": self.generation, "reset": True, "instances": entries}
 
     async def agent(self, reader, writer):
+        self.writers.append(writer)
         try:
             line, _ = await self.read_request(reader)
             self.watch_number += 1
@@ -360,6 +368,9 @@
         endpoint.met[key] = now
         self.on_send(now, proxy, number, name, endpoint, work)
         took = endpoint.take(now, work)
+        if self.family["mutating"][at]:
+            limit = self.family["in_flight_max_ns"] / 1e9
+            self.on_write(now, number, endpoint, now + min(took, limit))
         met = self.met.setdefault((proxy.zone, owner), [0, 0, 0.0])
         met[0] += 1
         if took > self.settings["classes"][at]["deadline_ns"] / 1e9 or endpoint.lifecycle == "gone":
@@ -376,6 +387,7 @@
             _, writer = await asyncio.open_connection(*address)
             self.frame(writer, {"t": "agent", "locality": zone})
             writers.append(writer)
+            self.writers.append(writer)
         period = self.family["report_every_ns"] / 1e9
         loop = asyncio.get_running_loop()
         while True:
@@ -493,6 +505,8 @@
                 await self.process.wait()
         for server in getattr(self, "servers", []):
             server.close()
+        for writer in self.writers:
+            writer.close()
         await asyncio.sleep(0.05)
 
 
