--- a/review/peers/rules.py
+++ b/review/peers/rules.py
@@ -40,7 +40,8 @@
 
     def on_send(self, now, proxy, number, name, endpoint, work):
         told = self.told.get(endpoint.name)
-        if told is not None:
+        if told is not None and proxy.joined:
+            told = max(told, proxy.joined_at)
             grace = self.rules["drain_grace_ns"] / 1e9 + SOCKET_SLACK + SLACK + self.excused(told)
             over = now - told - grace
             if over > self.late.get(endpoint.name, 0.0):
@@ -65,7 +66,7 @@
 
     def on_table(self, now, number):
         """A proxy's table of a slice has changed."""
-        lacks = any(number not in proxy.table for proxy in self.platform.proxies.values())
+        lacks = any(p.joined and number not in p.table for p in self.platform.proxies.values())
         if lacks:
             self.without.setdefault(number, now)
         elif number in self.without:
