--- a/review/peers/platform_standin.py
+++ b/review/peers/platform_standin.py
@@ -112,7 +112,9 @@
         self.changes: list[tuple[int, dict]] = []
         self.news: set[asyncio.StreamWriter] = set()
         self.watches: set[asyncio.StreamWriter] = set()
-        self.channel_free = 0.0
+        self.channel_free = 0.0  # when all messages have left the channel
+        self.push_rate = self.family["push_rate"]  # lines a second, now
+        self.most_waiting = 0.0  # lines that waited in the channel at most
         self.calls = 0
         self.answer = lambda number: "ok"  # fate of a call: "ok", "reset", "spoilt" or "silent"
         self.watch_fate = lambda number: "ok"  # of a watch: "ok" or "silent"
@@ -259,7 +261,7 @@
         for proxy in self.proxies.values():
             if not proxy.joined:
                 continue
-            self.channel_free = max(now, self.channel_free) + lines / self.family["push_rate"]
+            self.channel_free = max(now, self.channel_free) + lines / self.push_rate
             proxy.sent_at.append(now)
             reaches = self.channel_free + min(
                 self.family["push_delay_max_ns"] / 1e9, transit * self.random.uniform(0.95, 1.05)
@@ -269,6 +271,8 @@
                 proxy.applies_at - now, self.apply, proxy, parsed, now, proxy.applies_at - now, proxy.stream
             )
 
+        self.most_waiting = max(self.most_waiting, (self.channel_free - now) * self.push_rate)
+
     def leave(self, proxy, noticed=0.0):
         """A proxy's stream breaks, which is noticed later. Messages on their way are lost."""
         proxy.joined, proxy.stream = False, proxy.stream + 1
