--- a/review/peers/platform_standin.py
+++ b/review/peers/platform_standin.py
@@ -582,14 +582,22 @@
         return one.getsockname()[1]
 
 
+async def limited(play, record, trouble):
+    """Plays for 115 s at most. A signal to stop ends the case and what it has started."""
+    task = asyncio.ensure_future(asyncio.wait_for(play(record, trouble), 115))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await task
+
+
 def main(play, folder):
     """Runs `play(record, trouble)`, which returns whether the rule held; exits with 0, 1 or 2."""
     record = Record(Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("case", f"trouble={int(trouble)}")
     try:
-        held = asyncio.run(asyncio.wait_for(play(record, trouble), 115))
-    except Exception as error:  # the case could not run
+        held = asyncio.run(limited(play, record, trouble))
+    except (Exception, asyncio.CancelledError) as error:  # the case could not run
         record.write("case", f"could not run: {error!r}")
         print(f"could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
