--- a/review/peers/platform_standin.py
+++ b/review/peers/platform_standin.py
@@ -562,6 +562,7 @@
     async def stop(self):
         for task in self.tasks:
             task.cancel()
+        ended = self.process is not None and self.process.returncode is not None
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signal.SIGTERM)
             try:
@@ -574,6 +575,8 @@
         for writer in self.writers:
             writer.close()
         await asyncio.sleep(0.05)
+        if ended:
+            raise RuntimeError("the pilot ended by itself")
 
 
 def free_port():
