--- a/review/peers/platform_standin.py
+++ b/review/peers/platform_standin.py
@@ -125,6 +125,7 @@
         self.gain_for = 20.0
         self.met = {}  # (zone, endpoint) -> [tries, errors, time]
         self.heat = {}  # (slice, class) -> [ops, errors]
+        self.unreported = {}  # sums that wait for the intake, and over how long, oldest first
         self.on_send = lambda now, proxy, number, name, endpoint, work: None
         self.on_write = lambda now, number, endpoint, ends: None
         self.on_table = lambda now, number: None
@@ -415,6 +416,10 @@
         endpoint.met[key] = now
         self.on_send(now, proxy, number, name, endpoint, work)
         took = endpoint.take(now, work)
+        self.record.write(
+            "op",
+            f"{name}, slice {number}: proxy {proxy.number} to {owner}, {work:.3f} s of work, {took:.3f} s",
+        )
         if self.family["mutating"][at]:
             limit = self.family["in_flight_max_ns"] / 1e9
             self.on_write(now, number, endpoint, now + min(took, limit))
@@ -444,30 +449,37 @@
             loop.call_later(self.report_delay, self.report, zones, writers, met, heat, period * 1000)
 
     def report(self, zones, writers, met, heat, period):
-        for (zone, name), (tries, errors, took) in met.items():
-            rtt = took / (tries - errors) * 1000 if tries > errors else 0.0
-            message = {
-                "t": "outcomes",
-                "locality": zone,
-                "endpoint": name,
-                "total": tries,
-                "errors": errors,
-                "rtt": rtt,
-                "interval": period,
-            }
-            self.frame(writers[zones.index(zone)], message)
-        for (number, name), (ops, errors) in heat.items():
-            self.frame(
-                writers[0],
-                {
+        """Passes on as many lines as the intake allows, the oldest first; the rest adds up and follows."""
+        for kind, sums in (("met", met), ("heat", heat)):
+            for key, values in sums.items():
+                waiting = self.unreported.setdefault((kind, key), [0.0] * (len(values) + 1))
+                for at, value in enumerate([*values, period]):
+                    waiting[at] += value
+        for kind, key in list(self.unreported)[: int(self.family["intake_per_s"] * period / 1000)]:
+            *values, interval = self.unreported.pop((kind, key))
+            if kind == "met":
+                zone, name = key
+                tries, errors, took = values
+                message = {
+                    "t": "outcomes",
+                    "locality": zone,
+                    "endpoint": name,
+                    "total": int(tries),
+                    "errors": int(errors),
+                    "rtt": took / (tries - errors) * 1000 if tries > errors else 0.0,
+                    "interval": interval,
+                }
+                self.frame(writers[zones.index(zone)], message)
+            else:
+                message = {
                     "t": "hot",
-                    "shard": number,
-                    "route": name,
-                    "total": ops,
-                    "errors": errors,
-                    "interval": period,
-                },
-            )
+                    "shard": key[0],
+                    "route": key[1],
+                    "total": int(values[0]),
+                    "errors": int(values[1]),
+                    "interval": interval,
+                }
+                self.frame(writers[0], message)
 
     @staticmethod
     def frame(writer, message):
